fix(gateway): count the objective of each attempt from its own arrival

The objective of a caller that came back was counted from its first attempt, guessed from the time it has left. Such attempts were late at once and waited behind all later arrivals of their rank, mostly until their callers gave up.

Change: the guess and its state are gone; the objective begins with the attempt.

--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -119,7 +119,6 @@
     pub(super) crashes: RefCell<CrashLedger>,
     pub(crate) rollouts: RefCell<Rollouts>,
     mean_tokens: RefCell<BTreeMap<RouteId, f64>>,
-    longest_patience: RefCell<BTreeMap<RouteId, Duration>>,
     document_handler: RefCell<Option<DocumentHandler>>,
 }
 
@@ -180,7 +179,6 @@
             crashes: RefCell::default(),
             rollouts: RefCell::default(),
             mean_tokens: RefCell::default(),
-            longest_patience: RefCell::default(),
             document_handler: RefCell::default(),
         }))
     }
@@ -427,17 +425,6 @@
         (f64::from(expected_tokens) / mean.max(1.0)) as f32
     }
 
-    /// Returns how long a caller has waited before this attempt, from the patience that callers of the route usually have.
-    ///
-    /// A caller that comes back after a refusal has less time left than a new one, and its objective has begun with its
-    /// first attempt.
-    pub(crate) fn waited_before(&self, route: &RouteId, patience: Duration) -> Duration {
-        let mut longest = self.longest_patience.borrow_mut();
-        let usual = longest.entry(route.clone()).or_insert(patience);
-        *usual = patience.max(*usual);
-        usual.saturating_sub(patience)
-    }
-
     /// Counts a first attempt for the retry budget of a service.
     pub(crate) fn record_first_attempt(&self, service: &ServiceId) {
         let nodes = self.members.borrow().addresses().count() + 1;
--- a/crates/agatecourse-gateway/src/request/process_request.rs
+++ b/crates/agatecourse-gateway/src/request/process_request.rs
@@ -34,8 +34,6 @@
     request: &'a CallerRequest,
     admitted: Admitted,
     deadline: Instant,
-    /// Time that the caller had waited before this attempt.
-    waited_before: Duration,
     closes: bool,
     relay: Relay,
     failed_targets: SmallVec<[TargetId; 2]>,
@@ -80,12 +78,9 @@
     };
     gateway.record_first_attempt(&admitted.service);
     let patience = request.patience(&gateway.dialect).min(admitted.route.timeout);
-    let waited_before =
-        gateway.waited_before(&admitted.route.name, request.patience(&gateway.dialect));
     let may_have_run = Cell::new(false);
     let mut run = Run {
         deadline: request.arrived + patience,
-        waited_before,
         gateway,
         request,
         admitted,
@@ -174,7 +169,7 @@
             kind: self.kind(),
             rank: admitted.rank,
             waited_ms: 0,
-            objective_ms: millis(admitted.route.objective.saturating_sub(self.waited_before)),
+            objective_ms: millis(admitted.route.objective),
             deadline_ms: millis(patience),
             relative_size: self.gateway.relative_size(&admitted.route.name, expected),
             prompt_tokens: admitted.workload.prompt_tokens,
@@ -484,7 +479,6 @@
             .map(|first| first.saturating_duration_since(request.arrived).as_millis() as u64),
         "elapsed_ms" => elapsed.as_millis() as u64,
         "deadline_ms" => run.map(|run| run.deadline.saturating_duration_since(request.arrived).as_millis() as u64),
-        "waited_before_ms" => run.map(|run| run.waited_before.as_millis() as u64),
         "retry_after_ms" => retry_after_ms,
         "deployment" => run.map(|run| run.admitted.deployment_version));
 }
