refactor(core,bench,wire)!: remove the move driver that no node ran

Cause: two parts decided about new target versions: `Rollout`, which agatecourse-node runs, and the older move driver with its plan check, share schedule, sequential test, evidence pool, table rows, peer message and bench, which only the bench `moves` ran. The platform stops old replicas itself once a roll-out is recorded, so orders to engines, leases and fencing numbers have no use on it.

Ruled out: keeping the driver for agatecourse-entry; no node program has ever run it (docs said so).

Change: the driver, its rows, messages, ids, bench, pages and their tests go together. What the tests guarded (a good version is in service by its deadline, a bad one gets little and is stopped, a fault found by one node stops the version on all, an order without targets is taken back) stands in core/tests/rollout.rs and in the whole path tests.

Conclusion: one part decides about versions.

--- a/crates/agatecourse-bench/src/main.rs
+++ b/crates/agatecourse-bench/src/main.rs
@@ -1,8 +1,8 @@
 //! Load and experiments for agatecourse.
 
 use agatecourse_bench::process::{Arm, FleetStats};
-use agatecourse_bench::report::{write_moves_report, write_report};
-use agatecourse_bench::{check, control, faults, goodput, moves, overhead, prefill};
+use agatecourse_bench::report::write_report;
+use agatecourse_bench::{check, control, faults, goodput, overhead, prefill};
 use agatecourse_history::CheckLimits;
 use serde::Serialize;
 use snafu::{ResultExt, Whatever, ensure_whatever};
@@ -45,15 +45,6 @@
                 /// Writes an HTML file with plots.
                 optional --report report: PathBuf
             }
-            /// Version moves that end by their deadline or are rolled back.
-            cmd moves {
-                /// Seed of the load; the same seed gives the same result.
-                required --seed seed: u64
-                /// Prints one JSON object as the last line instead of a table.
-                optional --json
-                /// Writes an HTML file with plots.
-                optional --report report: PathBuf
-            }
             /// Latency, rate and memory of one real node process against direct calls.
             cmd overhead {
                 /// Seed, printed with the result.
@@ -101,14 +92,6 @@
                 goodput::goodput(flags.deployment.unwrap_or_default(), flags.seed);
             print("goodput", &result, flags.json, flags.report, &stats)
         }
-        flags::AgatecourseBenchCmd::Moves(flags) => {
-            let result = moves::moves(flags.seed);
-            if let Some(path) = &flags.report {
-                write_moves_report(path, &result.to_string(), &result.moves)
-                    .whatever_context("no report was written")?;
-            }
-            print("moves", &result, flags.json, None, &BTreeMap::new())
-        }
         flags::AgatecourseBenchCmd::Overhead(flags) => {
             let result = actix_rt::System::new().block_on(overhead::overhead(flags.seed))?;
             print("overhead", &result, flags.json, None, &BTreeMap::new())
--- a/crates/agatecourse-bench/src/report.rs
+++ b/crates/agatecourse-bench/src/report.rs
@@ -1,7 +1,6 @@
 //! HTML report with plots of the arms of a bench.
 
 use crate::process::{Arm, FleetStats, Sample};
-use crate::version::MoveStats;
 use agatecourse_types::Tier;
 use plotters::coord::Shift;
 use plotters::prelude::*;
@@ -61,28 +60,6 @@
     write_page(path, title, table, &plots)
 }
 
-/// Writes one self-contained HTML file with the traffic share of each move.
-///
-/// # Errors
-///
-/// Returns a [`ReportError`] when a plot can't be drawn or the file can't be written.
-pub fn write_moves_report(
-    path: &Path,
-    table: &str,
-    moves: &[MoveStats],
-) -> Result<(), ReportError> {
-    let percent = |(at_s, share): &(f64, f64)| (*at_s, share * 100.0);
-    let share = |stats: &MoveStats| stats.share.iter().map(percent).collect();
-    let plots: Vec<(String, Lines)> = moves
-        .iter()
-        .map(|stats| {
-            let lines = vec![("share of the new version in percent".to_string(), share(stats))];
-            (stats.case.clone(), lines)
-        })
-        .collect();
-    write_page(path, "moves", table, &plots)
-}
-
 fn write_page(
     path: &Path,
     title: &str,
--- a/crates/agatecourse-types/src/ids.rs
+++ b/crates/agatecourse-types/src/ids.rs
@@ -24,8 +24,6 @@
 pub type VersionId = String;
 /// Name of a provider whose credits pay for targets.
 pub type ProviderId = String;
-/// Name of a version move.
-pub type MoveId = String;
 /// Number of a journal shard.
 pub type ShardId = u32;
 /// Number that increases each time a journal shard changes its owner.
--- a/crates/agatecourse-wire/src/lib.rs
+++ b/crates/agatecourse-wire/src/lib.rs
@@ -17,7 +17,6 @@
 mod peer_message;
 pub mod process;
 pub mod request;
-pub mod version;
 
 pub use codec::{
     CodecError, DATAGRAM_LIMIT_BYTES, STREAM_LIMIT_BYTES, decode_datagram, decode_stream,
--- a/crates/agatecourse-wire/src/peer_message.rs
+++ b/crates/agatecourse-wire/src/peer_message.rs
@@ -3,7 +3,6 @@
     Finished, Grant, KeyRecord, Refusal, Registration, Reservation, ReservationOutcome,
     ReserveReply, Ticket,
 };
-use crate::version::EvidenceReport;
 use agatecourse_types::{ConfigVersion, NodeId, PoolId, RequestId, ShardId};
 use serde::{Deserialize, Serialize};
 
@@ -62,8 +61,6 @@
     AlertDigest { known: Vec<(AlertKey, u64)>, after: Option<AlertKey>, until: Option<AlertKey> },
     /// Carries alerts that the receiver lacks.
     Alerts { alerts: Vec<Alert> },
-    /// Publishes counters about a version move.
-    Evidence { report: EvidenceReport },
     /// Asks for the explanation of a request.
     Explain { request_id: RequestId },
     /// Carries the explanation of a request as text.
