fix(core,gateway): count recorded quota use on every young node

A node that had read the recorded use left it out as soon as any peer was older than the record, taking that peer to have counted it. After restarts in a row the peers are older than the record and know as little of the ended processes. Counts of older peers were taken only from those that had lived for a whole window, and never fell while the peer was heard.

Ruled out: reading the record more often (store calls are priced); a smaller limit for young nodes (refuses what is owed).

Change: the quota window itself keeps the recorded use until it leaves the window, with what peers used since; counts of all peers that are older than the node are taken, each replaced by its next one.

--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -27,8 +27,10 @@
     /// Use of processes that ended, with the time at which it leaves the window.
     ended: VecDeque<(Instant, u64)>,
     period: Period,
-    /// Use of all nodes as a peer that has lived longer knows it.
-    elder: Option<(Instant, u64)>,
+    /// Use of all nodes as peers that have lived longer know it.
+    elders: BTreeMap<NodeId, (Instant, u64)>,
+    /// Use of all nodes before this process began, as amounts with the times at which they leave the window.
+    recorded: Vec<(Instant, u64)>,
 }
 
 /// What a peer said that it has used, and how fast its use grew.
@@ -36,9 +38,18 @@
 struct PeerUse {
     heard: Instant,
     used: u64,
+    /// Use when the peer was first heard; a record of former use holds it as well.
+    used_at_first: u64,
     growth_per_s: f64,
 }
 
+impl PeerUse {
+    fn expected_use(&self, now: Instant) -> u64 {
+        let age = now.saturating_duration_since(self.heard);
+        self.used + (self.growth_per_s * age.as_secs_f64()) as u64
+    }
+}
+
 /// Counts that decided a refusal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuotaRefusal {
@@ -74,7 +85,8 @@
             peers: BTreeMap::new(),
             ended: VecDeque::new(),
             period: Period { started: now, left: u64::MAX, share: u64::MAX, taken: 0 },
-            elder: None,
+            elders: BTreeMap::new(),
+            recorded: Vec::new(),
         }
     }
 
@@ -94,18 +106,19 @@
 
     /// Records what a peer has used in its window.
     pub fn record_peer(&mut self, now: Instant, node: NodeId, used: u64) {
-        let growth_per_s = self.peers.get(&node).map_or(0.0, |before| {
+        let (growth_per_s, used_at_first) = self.peers.get(&node).map_or((0.0, used), |before| {
             let elapsed_s = now.saturating_duration_since(before.heard).as_secs_f64();
-            used.saturating_sub(before.used) as f64 / elapsed_s.max(BUCKET.as_secs_f64())
+            let grown = used.saturating_sub(before.used) as f64;
+            (grown / elapsed_s.max(BUCKET.as_secs_f64()), before.used_at_first)
         });
-        self.peers.insert(node, PeerUse { heard: now, used, growth_per_s });
+        self.peers.insert(node, PeerUse { heard: now, used, used_at_first, growth_per_s });
     }
 
     /// Keeps what a peer's former process had used until it leaves the window, because the new process does not know it.
     pub fn record_restart(&mut self, now: Instant, node: &NodeId) {
         if let Some(peer) = self.peers.get_mut(node) {
             self.ended.push_back((peer.heard + self.width, peer.used));
-            *peer = PeerUse { heard: now, used: 0, growth_per_s: 0.0 };
+            *peer = PeerUse { heard: now, used: 0, used_at_first: 0, growth_per_s: 0.0 };
         }
     }
 
@@ -115,15 +128,19 @@
     }
 
     /// Records what a peer that has lived longer knows of the use of all nodes, with that of processes that have ended.
-    pub fn record_elder(&mut self, now: Instant, total: u64) {
-        let known =
-            self.elder.filter(|(heard, _)| now.saturating_duration_since(*heard) < STALE_AFTER);
-        self.elder = Some((now, known.map_or(total, |(_, known)| known.max(total))));
+    pub fn record_elder(&mut self, now: Instant, node: NodeId, total: u64) {
+        self.elders.insert(node, (now, total));
+    }
+
+    /// Takes what all nodes had used when this process began, as amounts with the times at which they leave the window.
+    pub fn record_former_use(&mut self, amounts: Vec<(Instant, u64)>) {
+        self.recorded = amounts;
     }
 
     /// Forgets a node that has left.
     pub fn forget_peer(&mut self, node: &NodeId) {
         self.peers.remove(node);
+        self.elders.remove(node);
     }
 
     /// Reserves an amount when the use of all nodes stays within the limit.
@@ -168,24 +185,39 @@
         Ok(())
     }
 
+    /// Returns the largest of three counts, each of which can miss use: that of live processes and of ended ones that were
+    /// heard; that of peers that have lived longer; and the recorded use with what has been used since.
     fn total_use(&mut self, now: Instant, limit: u64) -> u64 {
+        let own = self.own_use(now);
         let equal_share = limit / (self.peers.len() as u64 + 1);
         let peers: u64 = self
             .peers
             .values()
             .map(|peer| {
-                let age = now.saturating_duration_since(peer.heard);
-                if age >= STALE_AFTER {
+                if now.saturating_duration_since(peer.heard) >= STALE_AFTER {
                     return equal_share.max(peer.used);
                 }
-                peer.used + (peer.growth_per_s * age.as_secs_f64()) as u64
+                peer.expected_use(now)
             })
             .sum();
         self.ended.retain(|(until, _)| *until > now);
         let ended: u64 = self.ended.iter().map(|(_, used)| *used).sum();
-        let elder =
-            self.elder.filter(|(heard, _)| now.saturating_duration_since(*heard) < STALE_AFTER);
-        (self.own_use(now) + peers + ended).max(elder.map_or(0, |(_, total)| total))
+        self.elders.retain(|_, (heard, _)| now.saturating_duration_since(*heard) < STALE_AFTER);
+        let elders = self.elders.values().map(|(_, total)| *total).max().unwrap_or_default();
+        (own + peers + ended).max(elders).max(self.use_after_record(now, own))
+    }
+
+    fn use_after_record(&mut self, now: Instant, own: u64) -> u64 {
+        self.recorded.retain(|(until, _)| *until > now);
+        if self.recorded.is_empty() {
+            return 0;
+        }
+        let recorded: u64 = self.recorded.iter().map(|(_, amount)| *amount).sum();
+        let since = self
+            .peers
+            .values()
+            .map(|peer| peer.expected_use(now).saturating_sub(peer.used_at_first));
+        recorded + own + since.sum::<u64>()
     }
 
     /// Counts a reserved amount as sent.
--- a/crates/agatecourse-core/tests/quota_window.rs
+++ b/crates/agatecourse-core/tests/quota_window.rs
@@ -171,7 +171,7 @@
     let start = Instant::now();
     let mut window = QuotaWindow::new(start, WINDOW);
     window.record_peer(start, "elder".to_string(), 10);
-    window.record_elder(start, 95);
+    window.record_elder(start, "elder".to_string(), 95);
     expect_that!(window.try_reserve(start, 10, 100, 0), err(anything()));
     expect_that!(window.try_reserve(start, 5, 100, 0), ok(eq(())));
     // What the peer knew is too old after a while, and its own use is counted by itself.
@@ -179,3 +179,39 @@
     window.record_peer(later, "elder".to_string(), 10);
     expect_that!(window.try_reserve(later, 20, 100, 0), ok(eq(())));
 }
+
+/// Guards against an old count of a peer that lasts as long as the peer is heard: what it knew falls as use leaves its window,
+/// and quotas were refused that nobody used.
+#[gtest]
+fn newer_count_of_an_older_peer_replaces_its_former_one() {
+    let start = Instant::now();
+    let mut window = QuotaWindow::new(start, WINDOW);
+    window.record_elder(start, "elder".to_string(), 95);
+    let later = start + Duration::from_millis(500);
+    window.record_elder(later, "elder".to_string(), 20);
+    expect_that!(window.try_reserve(later, 50, 100, 0), ok(eq(())));
+    // The largest count of several peers counts.
+    window.record_elder(later, "other".to_string(), 90);
+    expect_that!(window.try_reserve(later, 20, 100, 0), err(anything()));
+}
+
+/// Guards against recorded use that a node forgets because some peers are older than the record: they know no more of the
+/// processes that ended before they began.
+#[gtest]
+fn recorded_use_counts_beside_older_peers() {
+    let start = Instant::now();
+    let mut window = QuotaWindow::new(start, WINDOW);
+    let seconds = Duration::from_secs;
+    window.record_former_use(vec![(start + seconds(2), 30), (start + seconds(6), 50)]);
+    // The peer's use until now is part of the record, what it uses from now on is not.
+    window.record_peer(start, "peer".to_string(), 10);
+    expect_that!(window.try_reserve(start, 21, 100, 0), err(anything()));
+    window.record_peer(start + seconds(1), "peer".to_string(), 15);
+    window.record_peer(start + seconds(1), "peer".to_string(), 15);
+    expect_that!(window.try_reserve(start + seconds(1), 16, 100, 0), err(anything()));
+    expect_that!(window.try_reserve(start + seconds(1), 15, 100, 0), ok(eq(())));
+    let later = start + seconds(3);
+    window.record_peer(later, "peer".to_string(), 15);
+    expect_that!(window.try_reserve(later, 31, 100, 0), err(anything()));
+    expect_that!(window.try_reserve(later, 30, 100, 0), ok(eq(())));
+}
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -32,13 +32,12 @@
         amount: u64,
     ) -> Result<(), QuotaRefusal> {
         let Some(quota) = organisation.quota else { return Ok(()) };
-        let window = self.settings.quota_window;
         let (full, slack) = self.quota_limit(&quota);
-        let limit = self.known_quota(now, &organisation.name, full, slack);
+        let limit = self.known_quota(now, full, slack);
         self.quotas
             .borrow_mut()
             .entry(organisation.name.clone())
-            .or_insert_with(|| QuotaWindow::new(now, window))
+            .or_insert_with(|| self.new_quota_window(now, &organisation.name))
             .try_reserve(now, amount, limit, slack)
     }
 
@@ -57,29 +56,16 @@
 
     /// Returns the part of a limit that may be used while no node has counted for a whole window.
     ///
-    /// After all processes were killed at once, the recorded use of the former ones counts as used until it has left the
-    /// window. Without a record only what comes free since then may be used, with a part of the slack.
-    fn known_quota(
-        &self,
-        now: Instant,
-        organisation: &OrganisationId,
-        full: u64,
-        slack: u64,
-    ) -> u64 {
+    /// After all processes were killed at once, the recorded use of the former ones counts until it has left the window.
+    /// Without a record only what comes free since then may be used, with a part of the slack.
+    fn known_quota(&self, now: Instant, full: u64, slack: u64) -> u64 {
         let window = self.settings.quota_window;
         let longest = self.members.borrow().longest_life(now);
         let known_for = longest.max(now.saturating_duration_since(self.started));
-        if self.settings.is_first_start || known_for >= window {
+        let has_record = self.recorded_use.borrow().is_some();
+        if self.settings.is_first_start || known_for >= window || has_record {
             return full;
         }
-        if let Some(recorded) = self.recorded_use.borrow().as_ref() {
-            let elapsed = now.saturating_duration_since(recorded.made);
-            let is_counted_by_a_peer = longest >= elapsed;
-            let amounts = recorded.used.get(organisation).map_or(&[][..], Vec::as_slice);
-            let still_counts = amounts.iter().filter(|(age, _)| *age + elapsed < window);
-            let used: u64 = still_counts.map(|(_, amount)| *amount).sum();
-            return if is_counted_by_a_peer { full } else { full.saturating_sub(used) };
-        }
         let freed = full as f64 * known_for.as_secs_f64() / window.as_secs_f64();
         (freed as u64 + slack / RESTART_SLACK_DIVISOR).min(full)
     }
@@ -88,6 +74,25 @@
     pub fn set_recorded_use(&self, now: Instant, age: Duration, used: UseRecord) {
         let made = now.checked_sub(age).unwrap_or(now);
         *self.recorded_use.borrow_mut() = Some(RecordedUse { made, used });
+        for (name, window) in self.quotas.borrow_mut().iter_mut() {
+            window.record_former_use(self.former_use(name));
+        }
+    }
+
+    fn new_quota_window(&self, now: Instant, organisation: &OrganisationId) -> QuotaWindow {
+        let mut window = QuotaWindow::new(now, self.settings.quota_window);
+        window.record_former_use(self.former_use(organisation));
+        window
+    }
+
+    /// Returns the recorded amounts of an organisation with the times at which they leave the window.
+    fn former_use(&self, organisation: &OrganisationId) -> Vec<(Instant, u64)> {
+        let recorded = self.recorded_use.borrow();
+        let Some(recorded) = recorded.as_ref() else { return Vec::new() };
+        let amounts = recorded.used.get(organisation).map_or(&[][..], Vec::as_slice);
+        let until =
+            |age: &Duration| recorded.made + self.settings.quota_window.saturating_sub(*age);
+        amounts.iter().map(|(age, amount)| (until(age), *amount)).collect()
     }
 
     /// Observes the use of all organisations and returns it for those that have used a share of their limit.
@@ -158,15 +163,17 @@
     ) {
         let Some(deployment) = self.deployment() else { return };
         let width = self.settings.quota_window;
-        let is_elder = peer_life >= width && self.uptime(now) < width;
+        let uptime = self.uptime(now);
+        let is_elder = uptime < width && peer_life > uptime;
         let mut quotas = self.quotas.borrow_mut();
         for name in deployment.organisations.keys() {
             let hash = stable_hash(&[name.as_bytes()]);
             let known = usage.iter().find(|item| item.organisation == hash);
-            let window = quotas.entry(name.clone()).or_insert_with(|| QuotaWindow::new(now, width));
+            let window =
+                quotas.entry(name.clone()).or_insert_with(|| self.new_quota_window(now, name));
             window.record_peer(now, node.clone(), known.map_or(0, |item| item.own));
             if is_elder && let Some(known) = known {
-                window.record_elder(now, known.total);
+                window.record_elder(now, node.clone(), known.total);
             }
         }
     }
