feat(ctl): join the log lines of all nodes about one request

Cause: the way from a request's id to its cause began with grep, which misses the lines that bear no id: a target that left, a queue that moved, a node that had just started.

Ruled out: asking nodes by `explain`; a node of the users' platform may be gone when the question comes, its logs are not.

Change: `agatecoursectl trace REQUEST [FILE...]` prints the request's lines with what its node and its queue's owner came to believe from 5 s before to 2 s after, and what any node said about its targets.

--- a/crates/agatecoursectl/src/flags.rs
+++ b/crates/agatecoursectl/src/flags.rs
@@ -117,6 +117,15 @@
             /// File with the operators' token.
             required --token-file file: PathBuf
         }
+        /// Joins the log lines of all nodes about a request with what decided it.
+        ///
+        /// Example: cat node-*.log | agatecoursectl trace 33832ac9a8077b76
+        cmd trace {
+            /// Id of the request.
+            required request: String
+            /// Log files; standard input without any.
+            repeated file: PathBuf
+        }
         /// Gives a target no new requests.
         cmd drain {
             /// Name of the target.
--- a/crates/agatecoursectl/src/lib.rs
+++ b/crates/agatecoursectl/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod keys;
 pub mod node;
 mod output;
+mod trace;
 
 pub use command_error::CommandError;
 pub use config_table::{ConfigTable, check, read_valid, show_diff};
 pub use output::Output;
+pub use trace::trace;
--- a/crates/agatecoursectl/src/main.rs
+++ b/crates/agatecoursectl/src/main.rs
@@ -39,6 +39,7 @@
             let operator = node::Operator::new(flags.node, &flags.token_file)?;
             operator.drain(&flags.target, flags.undo).await
         }
+        AgatecoursectlCmd::Trace(flags) => agatecoursectl::trace(&flags.request, &flags.file),
         AgatecoursectlCmd::Release(flags) => {
             let operator = node::Operator::new(flags.node, &flags.token_file)?;
             operator.release(&flags.fingerprint).await
--- a/crates/agatecoursectl/tests/commands.rs
+++ b/crates/agatecoursectl/tests/commands.rs
@@ -191,3 +191,51 @@
     expect_that!(status(&ctl(&[&["status"], &options[..]].concat())), eq(5));
     Ok(())
 }
+
+/// Lines of two nodes: a request whose target died, another request, an old change of its target, and lines of the node and of
+/// an unrelated target.
+const LOG: &str = r#"
+ 12.0 node-a {"msg":"target changed","ts":"2026-08-11T06:31:00Z","node":"node-a","target":"t-1","draining":false}
+ 34.1 node-a {"msg":"target removed","ts":"2026-08-11T06:31:22.5Z","node":"node-a","target":"t-1"}
+not a log line
+{"msg":"attempt ended without an answer","ts":"2026-08-11T06:31:22.25Z","node":"node-a","request":"ab12","target":"t-1","owner":"node-b","end":"lost"}
+{"msg":"request ended","ts":"2026-08-11T06:31:22.3Z","node":"node-a","request":"ab12","code":3000,"reason":"connection ended before the answer"}
+{"msg":"request ended","ts":"2026-08-11T06:31:22.3Z","node":"node-a","request":"ffff","code":200}
+{"msg":"queue owner changed","ts":"2026-08-11T06:31:21.123456789Z","node":"node-b","to":"node-b"}
+{"msg":"target removed","ts":"2026-08-11T06:31:22Z","node":"node-a","target":"t-9"}
+"#;
+
+/// Guards against a story without its cause: the line that tells that the target left, or that the queue had moved, bears no
+/// request id.
+#[gtest]
+fn trace_joins_a_request_with_what_decided_it() -> googletest::Result<()> {
+    let directory = tempfile::tempdir().or_fail()?;
+    let file = write(directory.path(), "nodes.log", LOG);
+    let output = ctl(&["--json", "trace", "ab12", &file]);
+    expect_that!(status(&output), eq(0), "{}", stderr(&output));
+    let story: serde_json::Value = serde_json::from_str(&stdout(&output)).or_fail()?;
+    let lines = story["lines"].as_array().or_fail()?;
+    let events: Vec<&str> = lines.iter().filter_map(|line| line["event"].as_str()).collect();
+    expect_that!(
+        events,
+        elements_are![
+            eq(&"queue owner changed"),
+            eq(&"attempt ended without an answer"),
+            eq(&"request ended"),
+            eq(&"target removed")
+        ]
+    );
+    expect_that!(lines[1]["details"].as_str().or_fail()?, contains_substring("end=lost"));
+    expect_that!(stderr(&output), contains_substring("1 lines are no log lines"));
+    Ok(())
+}
+
+/// Guards against an unknown id that looks like a request without trouble.
+#[gtest]
+fn trace_of_an_unknown_request_says_so() -> googletest::Result<()> {
+    let directory = tempfile::tempdir().or_fail()?;
+    let file = write(directory.path(), "nodes.log", LOG);
+    expect_that!(status(&ctl(&["trace", "0000", &file])), eq(8));
+    expect_that!(status(&ctl(&["trace", "ab12", "no-such-file"])), eq(1));
+    Ok(())
+}
