--- /dev/null
+++ b/crates/agatecourse-core/benches/dispatch.rs
@@ -0,0 +1,102 @@
+//! Time of one decision of the dispatcher (a slot becomes free, a waiting attempt gets it, a new one arrives) by the number
+//! of targets in a queue.
+
+use agatecourse_core::request::dispatch::{
+    Decision, DispatchTarget, Dispatcher, Job, JobKey, RunEnd, RunReport,
+};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use smallvec::SmallVec;
+use std::collections::VecDeque;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+/// Slots of a target, as on the users' sheets.
+const SLOTS: u32 = 4;
+/// Attempts that wait while decisions are measured; a burst on the grown deployments leaves about as many in a queue.
+const BACKLOG: usize = 50;
+/// Length of a run.
+const RUN: Duration = Duration::from_millis(300);
+
+struct Load {
+    dispatcher: Dispatcher,
+    now: Instant,
+    next_number: u64,
+    running: VecDeque<JobKey>,
+}
+
+impl Load {
+    fn new(targets: u32) -> Self {
+        let now = Instant::now();
+        let spec = |index: u32| DispatchTarget {
+            id: format!("target-{index}"),
+            slots: SLOTS,
+            zone: format!("zone-{}", index % 3),
+            version: "v1".to_string(),
+        };
+        let mut load =
+            Self { dispatcher: Dispatcher::new(), now, next_number: 0, running: VecDeque::new() };
+        load.dispatcher.set_targets(now, (0..targets).map(spec).collect(), &mut Vec::new());
+        for _ in 0..(targets * SLOTS) as usize + BACKLOG {
+            load.submit();
+        }
+        load
+    }
+
+    fn submit(&mut self) {
+        self.next_number += 1;
+        let number = self.next_number;
+        let job = Job {
+            key: JobKey { node: "node".to_string(), number },
+            kind: number % 5,
+            rank: (number % 4) as u32,
+            arrived: self.now,
+            objective: self.now + Duration::from_secs(1),
+            deadline: self.now + Duration::from_hours(1),
+            relative_size: 1.0,
+            prompt_tokens: 3_000,
+            shared_part: number % 40,
+            zone: "zone-1".to_string(),
+            excluded: SmallVec::new(),
+            is_retry: false,
+            version: String::new(),
+            avoided_version: String::new(),
+        };
+        let mut decisions = Vec::new();
+        self.dispatcher.submit(self.now, job, &mut decisions);
+        self.note(decisions);
+    }
+
+    fn note(&mut self, decisions: Vec<Decision>) {
+        for decision in decisions {
+            if let Decision::Grant { key, .. } = decision {
+                self.running.push_back(key);
+            }
+        }
+    }
+
+    /// Ends the oldest run and brings a new attempt, so that the backlog stays.
+    fn step(&mut self) {
+        self.now += Duration::from_micros(500);
+        if let Some(key) = self.running.pop_front() {
+            let report = RunReport { end: RunEnd::Answered, elapsed: RUN };
+            let mut decisions = Vec::new();
+            self.dispatcher.finish(self.now, &key, report, &mut decisions);
+            self.note(decisions);
+        }
+        self.submit();
+    }
+}
+
+fn dispatch(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("dispatch");
+    for targets in [10, 32, 140] {
+        let mut load = Load::new(targets);
+        group.bench_with_input(BenchmarkId::from_parameter(targets), &targets, |bencher, _| {
+            bencher.iter(|| black_box(&mut load).step());
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, dispatch);
+criterion_main!(benches);
