fix(core): take a fraction of the quota from representative use only

Cause: a node's share of the unused quota is proportional to its part of the known use. When the use falls to almost nothing, peers' reports of the last 0.2 s are missing, each node knows little but its own use, and its fraction approaches 1. Ruled out: the slack and the first request of a period; the trace shows shares of the whole unused quota.

The fraction is now taken of at least half of the limit, so that it falls back to an equal share while little is used.

--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -9,6 +9,8 @@
 
 /// Time within which a node receives the counts of all peers; one heartbeat period plus a margin.
 const PEER_UPDATE_PERIOD: Duration = Duration::from_millis(500);
+/// Divisor of the limit that gives the least use from which a node derives its fraction of the quota.
+const REPRESENTATIVE_USE_DIVISOR: u64 = 2;
 /// A request larger than the node's share needs more than `limit / MIN_REMAINDER_DIVISOR` of unused quota.
 const MIN_REMAINDER_DIVISOR: u64 = 50;
 
@@ -192,7 +194,9 @@
 
     fn start_period(&mut self, now: Instant, used: u64, limit: u64, slack: u64) -> SharePeriod {
         let nodes = (self.peers.len() + 1).max(self.expected_nodes) as f64;
-        let own_fraction = self.own_use(now) as f64 / (used as f64).max(1.0);
+        // While little is used, peers' reports lag behind, and each node would take most of the use for its own.
+        let representative_use = used.max(limit / REPRESENTATIVE_USE_DIVISOR).max(1);
+        let own_fraction = self.own_use(now) as f64 / representative_use as f64;
         let unused = limit.saturating_sub(used);
         let share =
             (unused as f64 * own_fraction.max(1.0 / nodes) + slack as f64 / nodes / 2.0) as u64;
--- a/crates/agatecourse-core/tests/quota_window.rs
+++ b/crates/agatecourse-core/tests/quota_window.rs
@@ -115,6 +115,28 @@
     expect_that!(window.try_reserve(late + Duration::from_secs(9), 1, 100, 0), ok(eq(())));
 }
 
+/// Pattern: all use leaves the window at the same time, and the organisation sends as much as before. Guards against nodes
+/// that each take the whole quota, because what little they know to be used is their own: a simulated window held 921,000 of
+/// 899,543 tokens.
+#[gtest]
+fn node_with_all_of_a_small_use_takes_its_share_only() {
+    const LIMIT: u64 = 772_000;
+    let start = Instant::now();
+    let mut window = QuotaWindow::new(WINDOW);
+    for peer in 0..8 {
+        window.record_peer(start, format!("n{peer}"), 0);
+    }
+    assert_that!(window.try_reserve(start, 3_000, LIMIT, SLACK / 2), ok(eq(())));
+    window.commit(start, 3_000);
+    let next_period = start + Duration::from_millis(600);
+    let mut taken = 0;
+    while window.try_reserve(next_period, 3_000, LIMIT, SLACK / 2).is_ok() {
+        taken += 3_000;
+    }
+    expect_that!(taken, le((LIMIT + SLACK / 4) / 9));
+    expect_that!(taken, ge(LIMIT / 10));
+}
+
 /// Guards against use that is forgotten when the process that counted it restarts.
 #[gtest]
 fn use_of_a_restarted_peer_still_counts() {
