fix(core,gateway,platform): store an upper bound of quota use before it is reached

Cause: the absence of a record was taken for the absence of use. Use was recorded after the fact, from 0.4 of the limit on, by one node. When no process survives, what was used since the last write is known nowhere. Class: state written behind is authoritative on recovery.

Change: the store holds a bound of the use, written before the use may reach it; nodes that replace all others count the bound as used for a window, less what recorded amounts show to have expired. A request that needs a higher bound waits up to 100 ms while its node raises it. Amounts are taken from counters of what nodes sent, not from estimates, and all organisations are recorded. Heartbeats have new fields at their end; nodes of either version decode the other's.

Why it works: whatever happens after the bound was stored, the use cannot have exceeded it, so no record has to be recent or even exist.

--- a/crates/agatecourse-core/src/request/mod.rs
+++ b/crates/agatecourse-core/src/request/mod.rs
@@ -5,12 +5,14 @@
 pub mod journal;
 mod key_owner;
 mod quarantine;
+mod quota_bounds;
 mod quota_window;
 mod use_history;
 
 pub use crash_ledger::{CrashFingerprint, CrashLedger, TargetHash};
 pub use key_owner::{KeyDecision, KeyOwner, decide_key};
 pub use quarantine::{Admission, Quarantine, QuarantineEvent};
+pub use quota_bounds::{BoundDemand, BoundEntry, BoundPlan, QuotaBounds};
 pub use quota_window::{QuotaRefusal, QuotaWindow};
 pub use use_history::UseHistory;
 mod organisation_limiter;
--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -1,3 +1,5 @@
+use super::UseHistory;
+use super::quota_bounds::effective_bound;
 use agatecourse_types::NodeId;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -19,6 +21,10 @@
 /// Each node counts its own use and publishes it. A peer with a stale count is assumed to use an equal share, so that
 /// partitioned nodes stay within the quota together. A queued amount stays reserved until it is sent and then counts for
 /// a whole window, because a target's work counts from its start.
+///
+/// Use that nobody knows of is assumed to be as large as it may have been: a process that replaces others counts the whole
+/// limit as used when it starts, or the [bound](super::QuotaBounds) that the others had stored. Recorded amounts say which
+/// part of it expires sooner, and older peers know the use itself.
 #[derive(Debug, Clone)]
 pub struct QuotaWindow {
     width: Duration,
@@ -31,10 +37,22 @@
     period: Option<SharePeriod>,
     /// Use of all nodes as reported by peers that started earlier than this node, with the time of the report.
     older_peer_totals: BTreeMap<NodeId, (Instant, u64)>,
+    /// Start of this process if it replaces others, whose use it does not know.
+    replaced_others_at: Option<Instant>,
+    /// Stored bound of the use of ended processes; `None` before it was read, 0 for the default.
+    previous_bound: Option<u64>,
+    /// Bound of the use of all nodes, if it is less than the limit.
+    bound: Option<u64>,
     /// Use of all nodes before this process started, with the time at which each amount leaves the window.
     recorded: Vec<(Instant, u64)>,
+    /// Recorded use that has left the window since this process started.
+    recorded_expired: u64,
     /// Lower bound of the number of nodes that share the quota, until as many peers have reported.
     expected_nodes: usize,
+    /// Amount that this process has sent since its start.
+    sent_total: u64,
+    /// Amounts that all nodes have sent, as far as this node knows.
+    history: UseHistory,
 }
 
 /// Last reported use of a peer and its growth, to extrapolate until the next report.
@@ -42,9 +60,11 @@
 struct PeerUse {
     reported_at: Instant,
     used: u64,
-    /// Use in the peer's first report; recorded previous use includes it already.
+    /// Use in the peer's first report that the use before this process started includes already.
     used_at_first: u64,
     growth_per_s: f64,
+    /// Amount that the peer's process has sent since its start; `None` before the first report that contains it.
+    sent_total: Option<u64>,
 }
 
 impl PeerUse {
@@ -67,14 +87,22 @@
     pub share: u64,
     /// Amount that this node has reserved in the present share period.
     pub taken: u64,
+    /// True if a stored bound below the quota applies, which may be raised.
+    pub is_bounded: bool,
+    /// Bound under which this node could have reserved the amount.
+    pub needed_bound: u64,
 }
 
 /// Share of the unused quota that a node may reserve until its peers have reported again.
 #[derive(Debug, Clone, Copy)]
 struct SharePeriod {
     started: Instant,
+    /// Limit that the share was taken under.
+    limit: u64,
     /// Quota that was unused by all nodes at the start of the period.
     unused: u64,
+    /// Part of the unused quota that belongs to this node.
+    fraction: f64,
     share: u64,
     taken: u64,
 }
@@ -91,11 +119,24 @@
             ended: VecDeque::new(),
             period: None,
             older_peer_totals: BTreeMap::new(),
+            replaced_others_at: None,
+            previous_bound: None,
+            bound: None,
             recorded: Vec::new(),
+            recorded_expired: 0,
             expected_nodes: 1,
+            sent_total: 0,
+            history: UseHistory::new(width),
         }
     }
 
+    /// Sets that this process started at `started` in place of others, whose use in the window before is unknown.
+    #[must_use]
+    pub fn with_unknown_use_before(mut self, started: Instant) -> Self {
+        self.replaced_others_at = Some(started);
+        self
+    }
+
     /// Returns the use of this node in the window, including reserved amounts.
     pub fn own_use(&mut self, now: Instant) -> u64 {
         while self
@@ -112,12 +153,46 @@
 
     /// Records the use that a peer reports for its window.
     pub fn record_peer(&mut self, now: Instant, node: NodeId, used: u64) {
-        let (growth_per_s, used_at_first) = self.peers.get(&node).map_or((0.0, used), |before| {
+        let before = self.peers.get(&node);
+        let (growth_per_s, used_at_first) = before.map_or((0.0, used), |before| {
             let elapsed_s = now.saturating_duration_since(before.reported_at).as_secs_f64();
             let grown = used.saturating_sub(before.used) as f64;
             (grown / elapsed_s.max(BUCKET.as_secs_f64()), before.used_at_first)
         });
-        self.peers.insert(node, PeerUse { reported_at: now, used, used_at_first, growth_per_s });
+        let sent_total = before.and_then(|before| before.sent_total);
+        self.peers.insert(
+            node,
+            PeerUse { reported_at: now, used, used_at_first, growth_per_s, sent_total },
+        );
+    }
+
+    /// Counts all use that a peer has reported as use since this process started, because the peer's process started later.
+    pub fn record_younger_peer(&mut self, node: &NodeId) {
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.used_at_first = 0;
+        }
+    }
+
+    /// Records the amount that a peer's process has sent since its start.
+    ///
+    /// Only the growth since the peer's previous report enters the history, because nothing tells when the rest was sent.
+    pub fn record_peer_sent_total(&mut self, now: Instant, node: &NodeId, sent_total: u64) {
+        let Some(peer) = self.peers.get_mut(node) else { return };
+        // A report that was overtaken by a newer one has a smaller total.
+        let before = peer.sent_total.unwrap_or(sent_total);
+        peer.sent_total = Some(sent_total.max(before));
+        self.history.add(now, sent_total.saturating_sub(before));
+    }
+
+    /// Returns the amount that this process has sent since its start.
+    pub fn sent_total(&self) -> u64 {
+        self.sent_total
+    }
+
+    /// Returns the amounts that all nodes have sent in the window, with their ages, oldest first. It may lack amounts but
+    /// dates none earlier than it was sent.
+    pub fn sent_amounts(&mut self, now: Instant) -> Vec<(Duration, u64)> {
+        self.history.amounts(now)
     }
 
     /// Keeps counting the use of a peer's ended process until it leaves the window, because the peer's new process doesn't
@@ -125,7 +200,13 @@
     pub fn record_restart(&mut self, now: Instant, node: &NodeId) {
         if let Some(peer) = self.peers.get_mut(node) {
             self.ended.push_back((peer.reported_at + self.width, peer.used));
-            *peer = PeerUse { reported_at: now, used: 0, used_at_first: 0, growth_per_s: 0.0 };
+            *peer = PeerUse {
+                reported_at: now,
+                used: 0,
+                used_at_first: 0,
+                growth_per_s: 0.0,
+                sent_total: Some(0),
+            };
         }
     }
 
@@ -135,7 +216,7 @@
     }
 
     /// Records the use of all nodes as reported by a peer that started earlier than this node; it includes the use of
-    /// processes that ended since that peer started.
+    /// processes that ended since that peer started, and what the peer assumes of those that ended before.
     pub fn record_older_peer_total(&mut self, now: Instant, node: NodeId, total: u64) {
         self.older_peer_totals.insert(node, (now, total));
     }
@@ -143,10 +224,27 @@
     /// Sets the use of `nodes` nodes before this process started, as amounts with the times at which they leave the window.
     pub fn record_previous_use(&mut self, nodes: usize, amounts: Vec<(Instant, u64)>) {
         self.expected_nodes = nodes;
+        // The amounts that left the window before this process started are no part of the use that it assumes.
         self.recorded = amounts;
+        self.recorded.retain(|(until, _)| self.replaced_others_at.is_none_or(|at| *until > at));
+        let dated = self
+            .recorded
+            .iter()
+            .filter_map(|(until, amount)| Some((until.checked_sub(self.width)?, *amount)));
+        self.history.restore(&dated.collect::<Vec<_>>());
         self.period = None;
     }
 
+    /// Sets the stored bound of the use of the processes that this one replaces; 0 for the default.
+    pub fn record_previous_bound(&mut self, bound: u64) {
+        self.previous_bound = Some(bound);
+    }
+
+    /// Sets the bound of the use of all nodes; it applies if it is less than the limit.
+    pub fn set_bound(&mut self, bound: u64) {
+        self.bound = Some(bound);
+    }
+
     /// Removes a node that has left the membership.
     pub fn forget_peer(&mut self, node: &NodeId) {
         self.peers.remove(node);
@@ -170,12 +268,22 @@
         slack: u64,
     ) -> Result<(), QuotaRefusal> {
         let used = self.total_use(now, limit);
+        let is_bounded = self.bound.is_some_and(|bound| bound < limit);
+        let limit = self.bound.map_or(limit, |bound| bound.min(limit));
         let mut period = match self.period {
             Some(period) if now.saturating_duration_since(period.started) < PEER_UPDATE_PERIOD => {
                 period
             }
             _ => self.start_period(now, used, limit, slack),
         };
+        if limit > period.limit {
+            let raised = limit - period.limit;
+            period.limit = limit;
+            // A period that ended sooner would let this node take a second share before its peers report the first.
+            period.started = now;
+            period.unused += raised;
+            period.share += (raised as f64 * period.fraction) as u64;
+        }
         let fits_share = period.taken + amount <= period.share;
         // The first request of a period may exceed the share while enough quota is left for one request of each node.
         let is_first = period.taken == 0 && period.unused > limit / MIN_REMAINDER_DIVISOR;
@@ -189,7 +297,10 @@
             return Ok(());
         }
         let own = self.own_use(now);
-        Err(QuotaRefusal { used, own, limit, share: period.share, taken: period.taken })
+        let (share, taken) = (period.share, period.taken);
+        let needed_by_share = (taken + amount) as f64 / period.fraction;
+        let needed_bound = used + amount.max(needed_by_share as u64);
+        Err(QuotaRefusal { used, own, limit, share, taken, is_bounded, needed_bound })
     }
 
     fn start_period(&mut self, now: Instant, used: u64, limit: u64, slack: u64) -> SharePeriod {
@@ -197,14 +308,14 @@
         // While little is used, peers' reports lag behind, and each node would take most of the use for its own.
         let representative_use = used.max(limit / REPRESENTATIVE_USE_DIVISOR).max(1);
         let own_fraction = self.own_use(now) as f64 / representative_use as f64;
+        let fraction = own_fraction.max(1.0 / nodes);
         let unused = limit.saturating_sub(used);
-        let share =
-            (unused as f64 * own_fraction.max(1.0 / nodes) + slack as f64 / nodes / 2.0) as u64;
-        SharePeriod { started: now, unused, share, taken: 0 }
+        let share = (unused as f64 * fraction + slack as f64 / nodes / 2.0) as u64;
+        SharePeriod { started: now, limit, unused, fraction, share, taken: 0 }
     }
 
     /// Returns the largest of three estimates, each of which can miss use: the reports of live and ended processes; the
-    /// totals reported by peers that started earlier; and the recorded previous use plus the use since then.
+    /// totals reported by peers that started earlier; and the use before this process started plus the use since then.
     fn total_use(&mut self, now: Instant, limit: u64) -> u64 {
         let own = self.own_use(now);
         let equal_share = limit / (self.peers.len() as u64 + 1);
@@ -223,23 +334,38 @@
         self.older_peer_totals.retain(|_, (reported_at, _)| {
             now.saturating_duration_since(*reported_at) < STALE_AFTER
         });
-        let older_peer_totals =
-            self.older_peer_totals.values().map(|(_, total)| *total).max().unwrap_or_default();
-        (own + peers + ended).max(older_peer_totals).max(self.use_after_record(now, own))
+        let older_peer_total = self.older_peer_totals.values().map(|(_, total)| *total).max();
+        let previous = self.previous_use(now, limit, older_peer_total.is_some());
+        let with_previous =
+            if previous == 0 { 0 } else { previous + self.use_since_first_reports(now, own) };
+        (own + peers + ended).max(older_peer_total.unwrap_or_default()).max(with_previous)
     }
 
-    /// Returns the recorded previous use plus the use of this node and its peers since then; 0 without a record.
-    fn use_after_record(&mut self, now: Instant, own: u64) -> u64 {
-        self.recorded.retain(|(until, _)| *until > now);
-        if self.recorded.is_empty() {
-            return 0;
-        }
+    /// Returns the use before this process started that is still in the window: the recorded part, or the largest possible use
+    /// less what has expired of the record. An older peer knows the unrecorded part better.
+    fn previous_use(&mut self, now: Instant, limit: u64, has_older_peer: bool) -> u64 {
+        let (expired, remaining): (Vec<_>, Vec<_>) =
+            self.recorded.drain(..).partition(|(until, _)| *until <= now);
+        self.recorded = remaining;
+        self.recorded_expired += expired.iter().map(|(_, amount)| *amount).sum::<u64>();
         let recorded: u64 = self.recorded.iter().map(|(_, amount)| *amount).sum();
+        let is_unknown = self
+            .replaced_others_at
+            .is_some_and(|at| now.saturating_duration_since(at) < self.width);
+        if !is_unknown || has_older_peer {
+            return recorded;
+        }
+        let largest = self.previous_bound.map_or(limit, |bound| effective_bound(bound, limit));
+        largest.saturating_sub(self.recorded_expired).max(recorded)
+    }
+
+    /// Returns the use of this node and the growth of its peers' use since their first reports.
+    fn use_since_first_reports(&self, now: Instant, own: u64) -> u64 {
         let since = self
             .peers
             .values()
             .map(|peer| peer.expected_use(now).saturating_sub(peer.used_at_first));
-        recorded + own + since.sum::<u64>()
+        own + since.sum::<u64>()
     }
 
     /// Moves a reserved amount into the window when its request is sent.
@@ -250,6 +376,8 @@
             _ => self.sent.push_back((now, amount)),
         }
         self.sent_sum += amount;
+        self.sent_total += amount;
+        self.history.add(now, amount);
     }
 
     /// Returns a reserved amount that was not sent to the quota.
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -1,4 +1,4 @@
-use super::gateway_quota::RecordedUse;
+use super::gateway_quota::{Quotas, RecordedUse};
 use super::peer_documents::PeerDocuments;
 use super::{
     Coordinator, CoordinatorAction, Document, DocumentId, Documents, Members, Metrics,
@@ -7,9 +7,9 @@
 use crate::connection::{HeaderNames, TargetPool};
 use crate::version::{Deployment, ServiceId, Target};
 use agatecourse_core::process::RetryBudget;
+use agatecourse_core::request::CrashLedger;
 use agatecourse_core::request::dispatch::{DispatchTarget, JobNumber, RunReport};
-use agatecourse_core::request::{CrashLedger, QuotaWindow, UseHistory};
-use agatecourse_types::{NodeId, OrganisationId, RouteId, TargetId, ZoneId, rendezvous_owner};
+use agatecourse_types::{NodeId, RouteId, TargetId, ZoneId, rendezvous_owner};
 use slog::{Logger, info};
 use snafu::Snafu;
 use std::cell::{Cell, RefCell};
@@ -17,7 +17,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 /// Settings of a node; the adapter fills them in before the start.
 #[derive(Debug, Clone, PartialEq)]
@@ -106,7 +106,11 @@
     targets_updated: Cell<Instant>,
     coordinator: RefCell<Coordinator>,
     placements: RefCell<BTreeMap<JobNumber, oneshot::Sender<Placement>>>,
-    pub(super) quotas: RefCell<BTreeMap<OrganisationId, QuotaWindow>>,
+    pub(super) quotas: RefCell<Quotas>,
+    /// Signals the adapter that a request needs a higher quota bound.
+    pub(super) bound_wanted: Notify,
+    /// Version of the quota bounds; signals requests that wait for a higher one.
+    pub(super) bound_changes: watch::Sender<u64>,
     retry_budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     stopping_since: Cell<Option<Instant>>,
     ending: watch::Sender<bool>,
@@ -115,7 +119,6 @@
     pub(super) started: Instant,
     phase: Cell<usize>,
     pub(super) recorded_use: RefCell<Option<RecordedUse>>,
-    pub(super) use_histories: RefCell<BTreeMap<OrganisationId, UseHistory>>,
     pub(super) crashes: RefCell<CrashLedger>,
     pub(crate) rollouts: RefCell<Rollouts>,
     mean_tokens: RefCell<BTreeMap<RouteId, f64>>,
@@ -168,6 +171,8 @@
             targets_updated: Cell::new(now),
             placements: RefCell::default(),
             quotas: RefCell::default(),
+            bound_wanted: Notify::new(),
+            bound_changes: watch::Sender::new(0),
             retry_budgets: RefCell::default(),
             stopping_since: Cell::new(None),
             ending: watch::Sender::new(false),
@@ -175,7 +180,6 @@
             started: now,
             phase: Cell::new(0),
             recorded_use: RefCell::default(),
-            use_histories: RefCell::default(),
             crashes: RefCell::default(),
             rollouts: RefCell::default(),
             mean_tokens: RefCell::default(),
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -1,6 +1,8 @@
-use super::{Gateway, OrganisationUse};
+use super::{Gateway, Heartbeat, OrganisationUse, QuotaReport};
 use crate::version::{Organisation, Quota};
-use agatecourse_core::request::{QuotaRefusal, QuotaWindow, UseHistory};
+use agatecourse_core::request::{
+    BoundDemand, BoundEntry, BoundPlan, QuotaBounds, QuotaRefusal, QuotaWindow,
+};
 use agatecourse_types::{NodeId, OrganisationId, stable_hash};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -9,9 +11,6 @@
 /// other grows with their number.
 const FEW_NODES: f64 = 16.0;
 
-/// Divisor of the quota slack that may be used right after a restart of all nodes; the rest covers late reports of peers.
-const RESTART_SLACK_DIVISOR: u64 = 2;
-
 /// Quota use recorded by earlier processes.
 #[derive(Debug)]
 pub(super) struct RecordedUse {
@@ -19,6 +18,17 @@
     /// Number of nodes that shared the quotas.
     pub(super) nodes: usize,
     pub(super) used: UseRecord,
+    /// Bounds of the use, by organisation; `None` if the earlier processes kept none.
+    pub(super) bounds: Option<BTreeMap<OrganisationId, u64>>,
+}
+
+/// State of the quotas of all organisations.
+#[derive(Debug, Default)]
+pub(super) struct Quotas {
+    pub(super) windows: BTreeMap<OrganisationId, QuotaWindow>,
+    pub(super) bounds: QuotaBounds,
+    /// Bounds that requests needed which were refused since the last plan.
+    wanted: BTreeMap<OrganisationId, u64>,
 }
 
 /// Quota use per organisation over all nodes, as amounts with their ages.
@@ -34,13 +44,37 @@
         amount: u64,
     ) -> Result<(), QuotaRefusal> {
         let Some(quota) = organisation.quota else { return Ok(()) };
-        let (full, slack) = self.quota_limit(&quota);
-        let limit = self.limit_after_restart(now, full, slack);
-        self.quotas
-            .borrow_mut()
-            .entry(organisation.name.clone())
-            .or_insert_with(|| self.new_quota_window(&organisation.name))
-            .try_reserve(now, amount, limit, slack)
+        let (limit, slack) = self.quota_limit(&quota);
+        let name = &organisation.name;
+        let mut quotas = self.quotas.borrow_mut();
+        let bound = quotas.bounds.enforced(name, limit);
+        let window =
+            quotas.windows.entry(name.clone()).or_insert_with(|| self.new_quota_window(name));
+        window.set_bound(bound);
+        let reserved = window.try_reserve(now, amount, limit, slack);
+        if let Err(refusal) = &reserved
+            && refusal.is_bounded
+        {
+            let wanted = quotas.wanted.entry(name.clone()).or_default();
+            *wanted = refusal.needed_bound.max(*wanted);
+        }
+        reserved
+    }
+
+    /// Waits until the quota bounds have changed; returns false if they did not until `until` or the source of documents,
+    /// which stores them, can't be reached.
+    pub(crate) async fn wait_for_quota_bound(&self, until: Instant) -> bool {
+        if self.is_source_lost() {
+            return false;
+        }
+        let mut changes = self.bound_changes.subscribe();
+        self.bound_wanted.notify_one();
+        tokio::time::timeout_at(until.into(), changes.changed()).await.is_ok()
+    }
+
+    /// Waits until a request needs a higher quota bound.
+    pub async fn quota_bound_wanted(&self) {
+        self.bound_wanted.notified().await;
     }
 
     /// Returns the limit of use in a window and the slack that it includes.
@@ -56,38 +90,32 @@
         (full + (full as f64 * self.settings.quota_overage * part + slack) as u64, slack as u64)
     }
 
-    /// Returns the part of a limit that may be used while no node has counted for a whole window.
-    ///
-    /// After all processes were killed at once, the use recorded by the earlier ones counts until it has left the window.
-    /// Without a record, only the amount that has expired from the window since then may be used, and a part of the slack.
-    fn limit_after_restart(&self, now: Instant, full: u64, slack: u64) -> u64 {
-        let window = self.settings.quota_window;
-        let longest = self.members.borrow().longest_uptime(now);
-        let known_for = longest.max(now.saturating_duration_since(self.started));
-        let has_record = self.recorded_use.borrow().is_some();
-        if self.settings.is_first_start || known_for >= window || has_record {
-            return full;
-        }
-        let freed = full as f64 * known_for.as_secs_f64() / window.as_secs_f64();
-        (freed as u64 + slack / RESTART_SLACK_DIVISOR).min(full)
-    }
-
-    /// Sets the use that the earlier processes of `nodes` nodes recorded `age` ago.
-    pub fn set_recorded_use(&self, now: Instant, age: Duration, nodes: usize, used: UseRecord) {
+    /// Sets the use that the earlier processes of `nodes` nodes recorded `age` ago, with its bounds.
+    pub fn set_recorded_use(
+        &self,
+        now: Instant,
+        age: Duration,
+        nodes: usize,
+        used: UseRecord,
+        bounds: Option<BTreeMap<OrganisationId, u64>>,
+    ) {
         let made = now.checked_sub(age).unwrap_or(now);
-        *self.recorded_use.borrow_mut() = Some(RecordedUse { made, nodes, used });
-        for (name, window) in self.quotas.borrow_mut().iter_mut() {
+        *self.recorded_use.borrow_mut() = Some(RecordedUse { made, nodes, used, bounds });
+        for (name, window) in &mut self.quotas.borrow_mut().windows {
             self.restore_recorded_use(name, window);
         }
     }
 
     fn new_quota_window(&self, organisation: &OrganisationId) -> QuotaWindow {
         let mut window = QuotaWindow::new(self.settings.quota_window);
+        if !self.settings.is_first_start {
+            window = window.with_unknown_use_before(self.started);
+        }
         self.restore_recorded_use(organisation, &mut window);
         window
     }
 
-    /// Adds the recorded amounts of an organisation to its window, with the times at which they expire.
+    /// Adds the recorded amounts of an organisation to its window, with the times at which they expire, and their bound.
     fn restore_recorded_use(&self, organisation: &OrganisationId, window: &mut QuotaWindow) {
         let recorded = self.recorded_use.borrow();
         let Some(recorded) = recorded.as_ref() else { return };
@@ -96,93 +124,153 @@
             |age: &Duration| recorded.made + self.settings.quota_window.saturating_sub(*age);
         let amounts = amounts.iter().map(|(age, amount)| (until(age), *amount)).collect();
         window.record_previous_use(recorded.nodes, amounts);
+        if let Some(bounds) = &recorded.bounds {
+            window.record_previous_bound(bounds.get(organisation).copied().unwrap_or_default());
+        }
     }
 
-    /// Samples the use of all organisations and returns the use of those above `share` of their limit.
-    pub fn observe_quota_use(&self, now: Instant, share: f64) -> UseRecord {
-        let Some(deployment) = self.deployment() else { return UseRecord::new() };
+    /// Returns the quota bounds to store. `is_recorder` says whether this node records the use regularly; others only raise
+    /// bounds for requests that wait for it.
+    pub fn plan_quota_bounds(&self, now: Instant, is_recorder: bool) -> BoundPlan {
+        let Some(deployment) = self.deployment() else { return BoundPlan::default() };
         let mut quotas = self.quotas.borrow_mut();
-        let mut histories = self.use_histories.borrow_mut();
-        let mut near_limit = UseRecord::new();
-        for (name, window) in quotas.iter_mut() {
-            let organisation = deployment.organisations.get(name);
-            let Some(quota) = organisation.and_then(|organisation| organisation.quota) else {
-                continue;
-            };
-            let (limit, _) = self.quota_limit(&quota);
-            let used = window.known_use(now, limit);
-            let width = self.settings.quota_window;
-            let history = histories.entry(name.clone()).or_insert_with(|| UseHistory::new(width));
-            history.observe(now, used);
-            if used as f64 > limit as f64 * share {
-                near_limit.insert(name.clone(), history.amounts(now));
-            }
+        let Quotas { windows, bounds, wanted } = &mut *quotas;
+        let wanted = std::mem::take(wanted);
+        let demands = deployment.organisations.values().filter_map(|organisation| {
+            let (limit, _) = self.quota_limit(&organisation.quota?);
+            let name = &organisation.name;
+            let window = windows.entry(name.clone()).or_insert_with(|| self.new_quota_window(name));
+            Some(BoundDemand {
+                organisation: name.clone(),
+                used: window.known_use(now, limit),
+                wanted: wanted.get(name).copied().unwrap_or_default(),
+                limit,
+            })
+        });
+        bounds.plan(now, &demands.collect::<Vec<_>>(), is_recorder)
+    }
+
+    /// Returns the number of nodes that share the quotas; until a window has passed, at least that of the earlier processes.
+    pub fn quota_node_count(&self, now: Instant) -> usize {
+        let recorded = self.recorded_use.borrow().as_ref().map_or(0, |recorded| recorded.nodes);
+        let is_young = self.uptime(now) < self.settings.quota_window;
+        self.node_count().max(if is_young { recorded } else { 0 })
+    }
+
+    /// Returns the version of the stored quota bounds that this node knows; 0 if none are stored.
+    pub fn quota_bounds_version(&self) -> u64 {
+        self.quotas.borrow().bounds.version()
+    }
+
+    /// Takes over quota bounds that this node has stored.
+    pub fn record_stored_quota_bounds(&self, version: u64, bounds: BTreeMap<OrganisationId, u64>) {
+        self.quotas.borrow_mut().bounds.record_stored(version, bounds);
+        self.bound_changes.send_replace(version);
+    }
+
+    /// Takes over quota bounds that were stored by another node.
+    pub fn adopt_quota_bounds(
+        &self,
+        now: Instant,
+        version: u64,
+        bounds: &BTreeMap<OrganisationId, BoundEntry>,
+    ) {
+        if self.quotas.borrow_mut().bounds.adopt(now, version, bounds) {
+            self.bound_changes.send_replace(version);
         }
-        near_limit
+    }
+
+    /// Returns the amounts that all nodes have sent for each organisation with a quota, as far as this node knows.
+    pub fn sent_amounts(&self, now: Instant) -> UseRecord {
+        let mut quotas = self.quotas.borrow_mut();
+        let amounts = quotas
+            .windows
+            .iter_mut()
+            .map(|(name, window)| (name.clone(), window.sent_amounts(now)));
+        amounts.filter(|(_, amounts)| !amounts.is_empty()).collect()
     }
 
     /// Counts a reserved amount as sent to a target.
     pub(crate) fn commit_quota(&self, now: Instant, organisation: &OrganisationId, amount: u64) {
-        if let Some(window) = self.quotas.borrow_mut().get_mut(organisation) {
+        if let Some(window) = self.quotas.borrow_mut().windows.get_mut(organisation) {
             window.commit(now, amount);
         }
     }
 
     /// Releases a reserved amount that was not sent.
     pub(crate) fn release_quota(&self, organisation: &OrganisationId, amount: u64) {
-        if let Some(window) = self.quotas.borrow_mut().get_mut(organisation) {
+        if let Some(window) = self.quotas.borrow_mut().windows.get_mut(organisation) {
             window.release(amount);
         }
     }
 
     /// Keeps counting the use of a peer's earlier process after the peer has restarted.
     pub(crate) fn record_restart(&self, now: Instant, node: &NodeId) {
-        for window in self.quotas.borrow_mut().values_mut() {
+        for window in self.quotas.borrow_mut().windows.values_mut() {
             window.record_restart(now, node);
         }
     }
 
     /// Returns the use of organisations known to this node, for its heartbeats.
-    pub(crate) fn known_usage(&self, now: Instant) -> Vec<OrganisationUse> {
-        let Some(deployment) = self.deployment() else { return Vec::new() };
+    pub(crate) fn known_usage(&self, now: Instant) -> (Vec<OrganisationUse>, Vec<QuotaReport>) {
+        let Some(deployment) = self.deployment() else { return Default::default() };
         let mut quotas = self.quotas.borrow_mut();
-        let known = quotas.iter_mut().filter_map(|(name, window)| {
-            let quota = deployment.organisations.get(name)?.quota?;
-            let (limit, _) = self.quota_limit(&quota);
+        let Quotas { windows, bounds, .. } = &mut *quotas;
+        let known = deployment.organisations.values().filter_map(|organisation| {
+            let (limit, _) = self.quota_limit(&organisation.quota?);
+            let name = &organisation.name;
+            let window = windows.entry(name.clone()).or_insert_with(|| self.new_quota_window(name));
             let total = window.known_use(now, limit);
+            let bound = bounds.entry(name);
+            let report = QuotaReport {
+                sent_total: window.sent_total(),
+                stored_bound: bound.stored,
+                enforced_bound: bound.enforced,
+            };
             let organisation = stable_hash(&[name.as_bytes()]);
-            Some(OrganisationUse { organisation, own: window.own_use(now), total })
+            Some((OrganisationUse { organisation, own: window.own_use(now), total }, report))
         });
-        known.filter(|item| item.total > 0).collect()
+        known.filter(|(usage, report)| usage.total > 0 || report.stored_bound > 0).unzip()
     }
 
-    /// Records the use of organisations that a peer reports; an organisation missing from `usage` has used nothing there.
-    pub(crate) fn record_peer_usage(
-        &self,
-        now: Instant,
-        node: &NodeId,
-        peer_life: Duration,
-        usage: &[OrganisationUse],
-    ) {
+    /// Records the use of organisations that a peer reports.
+    pub(crate) fn record_peer_usage(&self, now: Instant, node: &NodeId, heartbeat: &Heartbeat) {
         let Some(deployment) = self.deployment() else { return };
         let width = self.settings.quota_window;
         let uptime = self.uptime(now);
-        let is_older_peer = uptime < width && peer_life > uptime;
+        let peer_uptime = Duration::from_millis(u64::from(heartbeat.uptime_ms));
+        let is_older_peer = uptime < width && peer_uptime > uptime;
+        let mut bounds = BTreeMap::new();
         let mut quotas = self.quotas.borrow_mut();
         for name in deployment.organisations.keys() {
             let hash = stable_hash(&[name.as_bytes()]);
-            let known = usage.iter().find(|item| item.organisation == hash);
-            let window = quotas.entry(name.clone()).or_insert_with(|| self.new_quota_window(name));
-            window.record_peer(now, node.clone(), known.map_or(0, |item| item.own));
-            if is_older_peer && let Some(known) = known {
-                window.record_older_peer_total(now, node.clone(), known.total);
+            let index = heartbeat.usage.iter().position(|item| item.organisation == hash);
+            let usage = index.and_then(|index| heartbeat.usage.get(index));
+            let report = index.and_then(|index| heartbeat.quota_reports.get(index));
+            let window =
+                quotas.windows.entry(name.clone()).or_insert_with(|| self.new_quota_window(name));
+            window.record_peer(now, node.clone(), usage.map_or(0, |item| item.own));
+            if let Some(report) = report {
+                window.record_peer_sent_total(now, node, report.sent_total);
+                let bound =
+                    BoundEntry { stored: report.stored_bound, enforced: report.enforced_bound };
+                bounds.insert(name.clone(), bound);
+            }
+            if peer_uptime <= uptime {
+                window.record_younger_peer(node);
+            }
+            if is_older_peer && (usage.is_some() || heartbeat.is_usage_complete) {
+                let total = usage.map_or(0, |item| item.total);
+                window.record_older_peer_total(now, node.clone(), total);
             }
         }
+        drop(quotas);
+        self.adopt_quota_bounds(now, heartbeat.quota_bounds_version, &bounds);
     }
 
     /// Removes the use of a node that was removed from the members.
     pub(crate) fn remove_peer_usage(&self, node: &NodeId) {
-        for window in self.quotas.borrow_mut().values_mut() {
+        for window in self.quotas.borrow_mut().windows.values_mut() {
             window.forget_peer(node);
         }
     }
--- a/crates/agatecourse-gateway/src/process/members.rs
+++ b/crates/agatecourse-gateway/src/process/members.rs
@@ -15,7 +15,6 @@
     last_heartbeat: Option<Instant>,
     added: Instant,
     started_unix_ms: u64,
-    uptime: Duration,
     is_stopping: bool,
 }
 
@@ -47,7 +46,6 @@
             last_heartbeat: None,
             added: now,
             started_unix_ms: 0,
-            uptime: Duration::ZERO,
             is_stopping: false,
         };
         self.members.insert(node.clone(), member);
@@ -70,7 +68,6 @@
             last_heartbeat: Some(now),
             added: member.added,
             started_unix_ms: heartbeat.started_unix_ms,
-            uptime: Duration::from_millis(u64::from(heartbeat.uptime_ms)),
             is_stopping: heartbeat.is_stopping,
         };
         is_new
@@ -85,12 +82,6 @@
             .collect()
     }
 
-    /// Returns the longest uptime among the nodes with a recent heartbeat.
-    pub fn longest_uptime(&self, now: Instant) -> Duration {
-        let live = self.members.values().filter(|member| is_recent(now, member.last_heartbeat));
-        live.map(|member| member.uptime).max().unwrap_or_default()
-    }
-
     /// Returns all known nodes with their addresses.
     pub fn addresses(&self) -> impl Iterator<Item = (&NodeId, Ipv4Addr)> {
         self.members.iter().map(|(node, member)| (node, member.address))
--- a/crates/agatecourse-gateway/src/process/mod.rs
+++ b/crates/agatecourse-gateway/src/process/mod.rs
@@ -22,7 +22,9 @@
 pub use logger::create_logger;
 pub use members::Members;
 pub(crate) use metrics::Metrics;
-pub use peer_message::{Heartbeat, OrganisationUse, PeerMessage, RolloutReport, WireJob};
+pub use peer_message::{
+    Heartbeat, OrganisationUse, PeerMessage, QuotaReport, RolloutReport, WireJob,
+};
 pub use peers::PeerEndpoint;
 pub use rollouts::{RolloutOutcome, Rollouts};
 pub use run::run_gateway;
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -9,6 +9,8 @@
 
 /// Maximum size of an encoded message in bytes; fits the links between nodes without IP fragmentation.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 1_400;
+/// Zero bytes added to a received message, from which the fields decode that nodes of earlier versions do not send.
+const DECODE_PADDING_BYTES: usize = 8;
 
 /// State that a node sends to all others periodically.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -29,6 +31,14 @@
     pub crashes: Vec<(CrashFingerprint, TargetHash)>,
     /// Reports of the sender on the rollouts that it knows.
     pub rollouts: SmallVec<[RolloutReport; 1]>,
+    // Nodes of earlier versions end a heartbeat here; they ignore what follows, and theirs decode with empty values.
+    /// Version of the stored quota bounds that the sender knows.
+    pub quota_bounds_version: u64,
+    /// Further values of the organisations in `usage`, in the same order.
+    pub quota_reports: Vec<QuotaReport>,
+    /// True if an organisation missing from `usage` has used nothing, as far as the sender knows; false if the sender does
+    /// not know the organisations yet.
+    pub is_usage_complete: bool,
 }
 
 /// Use of an organisation in the quota window, as known to a node.
@@ -42,6 +52,17 @@
     pub total: u64,
 }
 
+/// Values of an organisation that a node needs to record quota use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaReport {
+    /// Amount that the sending node has sent to targets since its start.
+    pub sent_total: u64,
+    /// Stored bound of the use on all nodes; 0 for the default.
+    pub stored_bound: u64,
+    /// Bound that the sending node enforces; 0 for the default.
+    pub enforced_bound: u64,
+}
+
 /// Report of a node on the rollout of a new version of a service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RolloutReport {
@@ -147,3 +168,18 @@
     pub(crate) from: NodeId,
     pub(crate) message: PeerMessage,
 }
+
+impl PeerEnvelope {
+    /// Decodes a datagram of `length` bytes at the start of the buffer; overwrites the bytes after it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the datagram is not a message between nodes or fills the whole buffer.
+    pub(crate) fn decode(buffer: &mut [u8], length: usize) -> Result<Self, postcard::Error> {
+        let padding = buffer
+            .get_mut(length..length + DECODE_PADDING_BYTES)
+            .ok_or(postcard::Error::DeserializeUnexpectedEnd)?;
+        padding.fill(0);
+        postcard::from_bytes(&buffer[..length + DECODE_PADDING_BYTES])
+    }
+}
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -70,7 +70,7 @@
                 continue;
             }
         };
-        let envelope: PeerEnvelope = match postcard::from_bytes(&buffer[..length]) {
+        let envelope = match PeerEnvelope::decode(&mut buffer, length) {
             Ok(envelope) => envelope,
             Err(error) => {
                 warn!(gateway.log, "decoding a datagram failed"; "from" => address.to_string(),
@@ -116,8 +116,7 @@
     for report in &heartbeat.rollouts {
         gateway.rollouts.borrow_mut().record_peer(from, report);
     }
-    let peer_life = Duration::from_millis(u64::from(heartbeat.uptime_ms));
-    gateway.record_peer_usage(now, from, peer_life, &heartbeat.usage);
+    gateway.record_peer_usage(now, from, heartbeat);
     for (id, version) in &heartbeat.documents {
         gateway.peer_documents().record_version(
             *id,
@@ -168,15 +167,19 @@
         named.truncate(MAX_HEARTBEAT_MEMBERS);
     }
     named.push((gateway.settings.node.clone(), gateway.settings.ip));
+    let (usage, quota_reports) = gateway.known_usage(now);
     let heartbeat = Heartbeat {
         started_unix_ms: gateway.settings.started_unix_ms,
         uptime_ms: gateway.uptime(now).as_millis() as u32,
         is_stopping: gateway.stopping_since().is_some(),
         members: named,
         documents: gateway.documents.borrow().versions().collect(),
-        usage: gateway.known_usage(now),
+        usage,
         crashes: gateway.newest_crashes(),
         rollouts: gateway.rollouts.borrow().reports().collect(),
+        quota_bounds_version: gateway.quota_bounds_version(),
+        quota_reports,
+        is_usage_complete: gateway.deployment().is_some(),
     };
     let mut addresses: Vec<Ipv4Addr> =
         gateway.members.borrow().addresses().map(|(_, address)| address).collect();
--- a/crates/agatecourse-gateway/src/request/admission.rs
+++ b/crates/agatecourse-gateway/src/request/admission.rs
@@ -15,6 +15,25 @@
 /// `Retry-After` when an organisation's quota is exhausted; a quarter of the users' quota window of 8 s.
 const QUOTA_RETRY: Duration = Duration::from_secs(2);
 
+/// `Retry-After` when a quota bound below the quota could not be raised in time.
+const QUOTA_BOUND_RETRY: Duration = Duration::from_millis(500);
+
+/// Reason why a request did not pass admission.
+#[derive(Debug)]
+pub(crate) enum AdmissionError {
+    /// The request is refused with this reply.
+    Refused(Reply),
+    /// A quota bound below the organisation's quota is reached; the request is refused with this reply unless the bound is
+    /// raised soon.
+    QuotaBound(Reply),
+}
+
+impl From<Reply> for AdmissionError {
+    fn from(reply: Reply) -> Self {
+        Self::Refused(reply)
+    }
+}
+
 /// A request that passed admission, with its route, priority and quota reservation.
 #[derive(Debug)]
 pub(crate) struct AdmittedRequest {
@@ -39,26 +58,21 @@
     gateway: &Rc<Gateway>,
     now: Instant,
     request: &CallerRequest,
-) -> Result<AdmittedRequest, Reply> {
+) -> Result<AdmittedRequest, AdmissionError> {
     let Some(deployment) = gateway.deployment() else {
-        return Err(Reply::refusal(
-            ResultCode::NotReady,
-            NOT_READY_RETRY,
-            "no configuration is known yet",
-        ));
+        let reason = "no configuration is known yet";
+        return Err(Reply::refusal(ResultCode::NotReady, NOT_READY_RETRY, reason).into());
     };
     let host = request.head.headers.get("host").unwrap_or_default();
     let Some(route) = deployment.route(host, &request.head.path).cloned() else {
-        return Err(Reply::error(
-            ResultCode::UnknownRoute,
-            format!("configuration {}", deployment.version),
-        ));
+        let reason = format!("configuration {}", deployment.version);
+        return Err(Reply::error(ResultCode::UnknownRoute, reason).into());
     };
     let fingerprint = fingerprint(request);
     let (crashes, is_quarantined) = gateway.crashes(now, fingerprint);
     if is_quarantined {
         let reason = format!("the request has crashed {crashes} targets");
-        return Err(Reply::refusal(ResultCode::Quarantined, QUARANTINE_RETRY, reason));
+        return Err(Reply::refusal(ResultCode::Quarantined, QUARANTINE_RETRY, reason).into());
     }
     let workload = Workload::from_request(request, &gateway.header_names);
     let organisation = find_organisation(gateway, &deployment, &route, request)?;
@@ -91,7 +105,13 @@
                     refusal.share,
                     deployment.version
                 );
-                return Err(Reply::refusal(ResultCode::OrganisationLimit, QUOTA_RETRY, reason));
+                let code = ResultCode::OrganisationLimit;
+                return Err(if refusal.is_bounded {
+                    let reason = format!("{reason}, a stored bound below the quota");
+                    AdmissionError::QuotaBound(Reply::refusal(code, QUOTA_BOUND_RETRY, reason))
+                } else {
+                    AdmissionError::Refused(Reply::refusal(code, QUOTA_RETRY, reason))
+                });
             }
             admitted.quota = Some(QuotaReservation::new(gateway, &organisation.name, amount));
         }
--- a/crates/agatecourse-gateway/src/request/process_request.rs
+++ b/crates/agatecourse-gateway/src/request/process_request.rs
@@ -1,7 +1,8 @@
-use super::admission::{AdmittedRequest, admit};
+use super::admission::{AdmissionError, AdmittedRequest, admit};
 use super::attempt::{AttemptEnd, attempt, return_to_pool};
 use super::attempt_guard::AttemptGuard;
 use super::outbound::outbound_request;
+use super::quota_reservation::QuotaReservation;
 use super::relay::{Relay, RelayEnd};
 use super::{CallerRequest, Reply};
 use crate::connection::{ResponseHead, TargetConnection};
@@ -25,6 +26,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 /// Delay between a lost answer and the connection check; a crashed target no longer listens by then.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
+/// Longest wait of a request for a higher quota bound; several calls to the store.
+const QUOTA_BOUND_WAIT: Duration = Duration::from_millis(100);
 /// Timeout of an attempt of a repeatable request that may be retried, in multiples of the route's latency objective.
 const RESPONSE_TIMEOUT_OBJECTIVES: u32 = 2;
 
@@ -74,8 +77,7 @@
     caller: &mut OwnedWriteHalf,
     closes: bool,
 ) -> Reply {
-    let now = Instant::now();
-    let admitted = match admit(gateway, now, request) {
+    let admitted = match admit_within_bounds(gateway, request).await {
         Ok(admitted) => admitted,
         Err(reply) => {
             log_reply(gateway, request, None, &reply);
@@ -115,6 +117,25 @@
     reply
 }
 
+/// Admits a request; if a quota bound refuses it, waits for a higher one for up to `QUOTA_BOUND_WAIT`.
+async fn admit_within_bounds(
+    gateway: &Rc<Gateway>,
+    request: &CallerRequest,
+) -> Result<AdmittedRequest, Reply> {
+    let wait_until = Instant::now() + QUOTA_BOUND_WAIT;
+    loop {
+        match admit(gateway, Instant::now(), request) {
+            Ok(admitted) => return Ok(admitted),
+            Err(AdmissionError::Refused(reply)) => return Err(reply),
+            Err(AdmissionError::QuotaBound(reply)) => {
+                if !gateway.wait_for_quota_bound(wait_until).await {
+                    return Err(reply);
+                }
+            }
+        }
+    }
+}
+
 impl RequestState<'_> {
     /// Submits attempts to the queue and sends them to the granted targets until one leads to a reply.
     async fn run_attempts(
@@ -521,6 +542,7 @@
         "route" => route,
         "service" => state.map(|state| state.admitted.service.as_str()),
         "organisation" => state.and_then(|state| state.admitted.organisation.as_deref()),
+        "quota_amount" => state.and_then(|state| state.admitted.quota.as_ref()).map(QuotaReservation::amount),
         "rank" => state.map(|state| state.admitted.rank),
         "target" => state.map(|state| state.last_target.as_str()),
         "attempts" => state.map(|state| state.sent_attempts + u32::from(state.is_sending)),
--- a/crates/agatecourse-gateway/src/request/quota_reservation.rs
+++ b/crates/agatecourse-gateway/src/request/quota_reservation.rs
@@ -22,6 +22,11 @@
         }
     }
 
+    /// Returns the reserved amount, in the unit of the quota.
+    pub(crate) fn amount(&self) -> u64 {
+        self.amount
+    }
+
     /// Commits the reserved amount when the first attempt starts; later calls have no effect.
     pub(crate) fn commit(&mut self, now: Instant) {
         if !std::mem::replace(&mut self.is_committed, true) {
