fix(core,gateway): share the unused quota in fractions that add up to one

Cause: each node took the larger of an equal and a proportional share, so the shares added up to more than all when use was uneven, and a node without heartbeats or a record counted itself alone. A seed was counted twice, once under a placeholder name, so the number of known nodes was no use either.

Change: a share is a mean of the proportional and the equal one, weighted by the use that the proportional one rests on; the number of nodes is at least that of the known members, each counted once, or of the record.

--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -11,8 +11,8 @@
 
 /// Time within which a node receives the counts of all peers; one heartbeat period plus a margin.
 const PEER_UPDATE_PERIOD: Duration = Duration::from_millis(500);
-/// Divisor of the limit that gives the least use from which a node derives its fraction of the quota.
-const REPRESENTATIVE_USE_DIVISOR: u64 = 2;
+/// Largest part of the unused quota that is shared in proportion to the nodes' use; the rest is shared equally.
+const MAX_PROPORTIONAL_WEIGHT: f64 = 0.5;
 /// A request larger than the node's share needs more than `limit / MIN_REMAINDER_DIVISOR` of unused quota.
 const MIN_REMAINDER_DIVISOR: u64 = 50;
 
@@ -240,6 +240,11 @@
         self.previous_bound = Some(bound);
     }
 
+    /// Sets the number of nodes that share the quota at least, whether or not they have reported.
+    pub fn set_expected_nodes(&mut self, nodes: usize) {
+        self.expected_nodes = nodes;
+    }
+
     /// Sets the bound of the use of all nodes; it applies if it is less than the limit.
     pub fn set_bound(&mut self, bound: u64) {
         self.bound = Some(bound);
@@ -254,8 +259,7 @@
     /// Reserves an amount if the use of all nodes stays within the limit.
     ///
     /// Peers' counts are up to one period old, so within a period a node reserves only its share of the quota that was
-    /// unused at the period's start. The share is proportional to the node's use so far, and at least equal among nodes. All
-    /// shares together may exceed the unused quota by half of `slack`, the excess that the deployment allows.
+    /// unused at the period's start. Up to half of it is shared in proportion to the nodes' use so far, the rest equally. All shares together may exceed the unused quota by half of `slack`, the excess that the deployment allows.
     ///
     /// # Errors
     ///
@@ -305,10 +309,12 @@
 
     fn start_period(&mut self, now: Instant, used: u64, limit: u64, slack: u64) -> SharePeriod {
         let nodes = (self.peers.len() + 1).max(self.expected_nodes) as f64;
-        // While little is used, peers' reports lag behind, and each node would take most of the use for its own.
-        let representative_use = used.max(limit / REPRESENTATIVE_USE_DIVISOR).max(1);
-        let own_fraction = self.own_use(now) as f64 / representative_use as f64;
-        let fraction = own_fraction.max(1.0 / nodes);
+        let own = self.own_use(now);
+        let live_use = own + self.peers.values().map(|peer| peer.expected_use(now)).sum::<u64>();
+        // The more is used, the more the nodes' use tells about their traffic. The fractions of all nodes add up to one.
+        let weight = (live_use as f64 / limit.max(1) as f64).min(MAX_PROPORTIONAL_WEIGHT);
+        let own_fraction = own as f64 / live_use.max(1) as f64;
+        let fraction = weight * own_fraction + (1.0 - weight) / nodes;
         let unused = limit.saturating_sub(used);
         let share = (unused as f64 * fraction + slack as f64 / nodes / 2.0) as u64;
         SharePeriod { started: now, limit, unused, fraction, share, taken: 0 }
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -11,6 +11,10 @@
 /// other grows with their number.
 const FEW_NODES: f64 = 16.0;
 
+/// Divisor of the slack that gives the addition to a limit while this process may not know all use; the rest covers late
+/// reports of peers.
+const RESTART_SLACK_DIVISOR: u64 = 4;
+
 /// Quota use recorded by earlier processes.
 #[derive(Debug)]
 pub(super) struct RecordedUse {
@@ -44,13 +48,14 @@
         amount: u64,
     ) -> Result<(), QuotaRefusal> {
         let Some(quota) = organisation.quota else { return Ok(()) };
-        let (limit, slack) = self.quota_limit(&quota);
+        let (limit, slack) = self.quota_limit(now, &quota);
         let name = &organisation.name;
         let mut quotas = self.quotas.borrow_mut();
         let bound = quotas.bounds.enforced(name, limit);
         let window =
             quotas.windows.entry(name.clone()).or_insert_with(|| self.new_quota_window(name));
         window.set_bound(bound);
+        window.set_expected_nodes(self.quota_node_count(now));
         let reserved = window.try_reserve(now, amount, limit, slack);
         if let Err(refusal) = &reserved
             && refusal.is_bounded
@@ -80,14 +85,20 @@
     /// Returns the limit of use in a window and the slack that it includes.
     ///
     /// The deployment tolerates some use beyond the quota. With up to `FEW_NODES` nodes, callers may use half of this tolerance,
-    /// with more nodes a smaller part; the rest covers use that other nodes have not reported yet.
-    fn quota_limit(&self, quota: &Quota) -> (u64, u64) {
+    /// with more nodes a smaller part; the rest covers use that other nodes have not reported yet. Until a window has passed
+    /// after a restart, the use of ended processes may be assumed to reach the limit, and organisations get a little more, so that
+    /// small requests are not refused.
+    fn quota_limit(&self, now: Instant, quota: &Quota) -> (u64, u64) {
         let full =
             quota.rate_per_s.saturating_mul(self.settings.quota_window.as_secs()) + quota.burst;
         let nodes = self.node_count();
         let part = 0.5 * (FEW_NODES / nodes as f64).min(1.0);
         let slack = if quota.counts_tokens { self.settings.quota_slack as f64 * part } else { 0.0 };
-        (full + (full as f64 * self.settings.quota_overage * part + slack) as u64, slack as u64)
+        let limit = full + (full as f64 * self.settings.quota_overage * part + slack) as u64;
+        let is_settled =
+            self.settings.is_first_start || self.uptime(now) >= self.settings.quota_window;
+        let slack = slack as u64;
+        (limit + if is_settled { 0 } else { slack / RESTART_SLACK_DIVISOR }, slack)
     }
 
     /// Sets the use that the earlier processes of `nodes` nodes recorded `age` ago, with its bounds.
@@ -137,7 +148,7 @@
         let Quotas { windows, bounds, wanted } = &mut *quotas;
         let wanted = std::mem::take(wanted);
         let demands = deployment.organisations.values().filter_map(|organisation| {
-            let (limit, _) = self.quota_limit(&organisation.quota?);
+            let (limit, _) = self.quota_limit(now, &organisation.quota?);
             let name = &organisation.name;
             let window = windows.entry(name.clone()).or_insert_with(|| self.new_quota_window(name));
             Some(BoundDemand {
@@ -217,7 +228,7 @@
         let mut quotas = self.quotas.borrow_mut();
         let Quotas { windows, bounds, .. } = &mut *quotas;
         let known = deployment.organisations.values().filter_map(|organisation| {
-            let (limit, _) = self.quota_limit(&organisation.quota?);
+            let (limit, _) = self.quota_limit(now, &organisation.quota?);
             let name = &organisation.name;
             let window = windows.entry(name.clone()).or_insert_with(|| self.new_quota_window(name));
             let total = window.known_use(now, limit);
--- a/crates/agatecourse-gateway/src/process/members.rs
+++ b/crates/agatecourse-gateway/src/process/members.rs
@@ -60,6 +60,10 @@
         address: Ipv4Addr,
         heartbeat: &Heartbeat,
     ) -> bool {
+        // The node may have been added by its address alone, under a placeholder name.
+        self.members.retain(|name, member| {
+            name == node || member.address != address || member.last_heartbeat.is_some()
+        });
         self.add(now, node, address);
         let Some(member) = self.members.get_mut(node) else { return false };
         let is_new = member.started_unix_ms != heartbeat.started_unix_ms;
