fix(gateway): give up on target responses that have no end

Callers would see: a request whose target sends bytes without end waits until its deadline (504), and the node buffers what arrives: 43,884,592 bytes of one event, 20,200,000 of interim responses and trailers, in 1.5 s on one connection of a node with 260 MB.

Cause: each part of a response needs a limit of its own, and three had none: interim responses, the trailer of a chunked body, and an event of a stream, which was also searched from its start with each read. The head of a response to the node's own calls (store, peers) had none either; found by reading, fixed the same way, without a test of its own.

Change: at most 8 interim responses, 8 KB of trailer, 256 KB for an event; the search for the end of an event goes on where the last one stopped. The request then ends like one whose answer was lost. Ruled out by tests that passed before: a header line, a chunk size and a body without end.

--- a/crates/agatecourse-gateway/src/connection/body.rs
+++ b/crates/agatecourse-gateway/src/connection/body.rs
@@ -6,6 +6,8 @@
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 /// Longest chunk-size line in bytes, including chunk extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Largest trailer in bytes.
+const MAX_TRAILER_BYTES: usize = 8 * 1024;
 
 /// Framing of a message body: how its end is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +26,9 @@
     /// A chunk size, or the line end after a chunk, is invalid.
     #[snafu(display("chunk can't be parsed"))]
     BadChunk,
+    /// The trailer after the last chunk is too long.
+    #[snafu(display("trailer exceeds {MAX_TRAILER_BYTES} bytes"))]
+    TrailerTooLong,
     /// The connection was closed before the end of the body.
     #[snafu(display("connection ended inside the body"))]
     Truncated,
@@ -50,6 +55,7 @@
 #[derive(Debug)]
 pub struct ChunkedDecoder {
     state: ChunkState,
+    trailer_bytes: usize,
 }
 
 impl Default for ChunkedDecoder {
@@ -61,7 +67,7 @@
 impl ChunkedDecoder {
     /// Creates a decoder at the start of a body.
     pub fn new() -> Self {
-        Self { state: ChunkState::Size }
+        Self { state: ChunkState::Size, trailer_bytes: 0 }
     }
 
     /// Returns whether the last chunk and the trailer were decoded.
@@ -73,7 +79,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`BodyError::BadChunk`] when the input is not valid chunked coding.
+    /// Returns [`BodyError::BadChunk`] when the input is not valid chunked coding, and [`BodyError::TrailerTooLong`] when the
+    /// trailer exceeds its limit.
     pub fn decode(&mut self, input: &mut BytesMut, output: &mut Vec<u8>) -> Result<(), BodyError> {
         loop {
             match self.state {
@@ -110,8 +117,11 @@
                 }
                 ChunkState::Trailer => {
                     let Some(line) = take_line(input)? else { return Ok(()) };
+                    self.trailer_bytes += line.len() + 2;
                     if line.is_empty() {
                         self.state = ChunkState::Done;
+                    } else if self.trailer_bytes > MAX_TRAILER_BYTES {
+                        return Err(BodyError::TrailerTooLong);
                     }
                 }
                 ChunkState::Done => return Ok(()),
--- a/crates/agatecourse-gateway/src/connection/head.rs
+++ b/crates/agatecourse-gateway/src/connection/head.rs
@@ -1,6 +1,8 @@
 use super::BodyFraming;
 use snafu::Snafu;
 
+/// Largest incomplete response head in bytes that is buffered.
+pub(crate) const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
 /// Largest number of header lines in a message.
 const MAX_HEADER_LINES: usize = 100;
 /// Hop-by-hop headers, and headers that the node sets itself; never forwarded.
--- a/crates/agatecourse-gateway/src/connection/mod.rs
+++ b/crates/agatecourse-gateway/src/connection/mod.rs
@@ -10,6 +10,7 @@
 
 pub(crate) use body::{BodyFraming, BodyReader, read_some};
 pub(crate) use caller::serve_caller;
+pub(crate) use head::MAX_RESPONSE_HEAD_BYTES;
 pub use head::{
     HeadError, Headers, RequestHead, ResponseHead, parse_request_head, parse_response_head,
 };
--- a/crates/agatecourse-gateway/src/connection/simple_client.rs
+++ b/crates/agatecourse-gateway/src/connection/simple_client.rs
@@ -1,5 +1,6 @@
 use super::{
-    BodyReader, HeadError, ResponseHead, parse_response_head, read_some, set_socket_options,
+    BodyReader, HeadError, MAX_RESPONSE_HEAD_BYTES, ResponseHead, parse_response_head, read_some,
+    set_socket_options,
 };
 use bytes::BytesMut;
 use snafu::Snafu;
@@ -110,6 +111,11 @@
                 let _head_bytes = buffer.split_to(length);
                 break head;
             }
+            if buffer.len() > MAX_RESPONSE_HEAD_BYTES {
+                return Err(CallError::BadResponse {
+                    reason: format!("response head exceeds {MAX_RESPONSE_HEAD_BYTES} bytes"),
+                });
+            }
             if read_some(&mut stream, &mut buffer).await.map_err(failed)? == 0 {
                 return Err(CallError::BadResponse {
                     reason: "connection ended before the response head".to_string(),
--- a/crates/agatecourse-gateway/src/connection/target_connection.rs
+++ b/crates/agatecourse-gateway/src/connection/target_connection.rs
@@ -1,4 +1,6 @@
-use super::{BodyReader, HeadError, ResponseHead, parse_response_head, read_some};
+use super::{
+    BodyReader, HeadError, MAX_RESPONSE_HEAD_BYTES, ResponseHead, parse_response_head, read_some,
+};
 use bytes::BytesMut;
 use snafu::Snafu;
 use std::net::SocketAddr;
@@ -14,8 +16,8 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes after which the connection is closed.
 const MAX_UNANSWERED_PROBES: u32 = 2;
-/// Largest incomplete response head in bytes that is buffered.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Largest number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: u32 = 8;
 /// Largest number of responses with another request id that are skipped on a connection.
 const MAX_SKIPPED_RESPONSES: u32 = 2;
 /// Largest body in bytes that is skipped in a response with another request id.
@@ -41,7 +43,11 @@
     Failed { source: std::io::Error },
     #[snafu(display("answer is not HTTP: {source}"))]
     Malformed { source: HeadError },
-    /// Only responses to other requests were read, or one of them could not be skipped, or the head is too large.
+    #[snafu(display("answer's head exceeds {MAX_RESPONSE_HEAD_BYTES} bytes"))]
+    HeadTooLong,
+    #[snafu(display("answer follows more than {MAX_INTERIM_RESPONSES} interim responses"))]
+    TooManyInterimResponses,
+    /// Only responses to other requests were read, or one of them could not be skipped.
     #[snafu(display("answer belongs to another request"))]
     OtherRequest,
 }
@@ -98,13 +104,13 @@
         id_header: &str,
         request_id: Option<&str>,
     ) -> Result<ResponseHead, ResponseError> {
-        let mut skipped = 0;
+        let (mut skipped, mut interim_responses) = (0, 0);
         loop {
             let parsed = parse_response_head(&self.buffer, method)
                 .map_err(|source| ResponseError::Malformed { source })?;
             let Some((head, length)) = parsed else {
-                if self.buffer.len() > MAX_HEAD_BYTES {
-                    return Err(ResponseError::OtherRequest);
+                if self.buffer.len() > MAX_RESPONSE_HEAD_BYTES {
+                    return Err(ResponseError::HeadTooLong);
                 }
                 let read = read_some(&mut self.stream, &mut self.buffer)
                     .await
@@ -116,6 +122,10 @@
             };
             let _head_bytes = self.buffer.split_to(length);
             if (100..200).contains(&head.status) {
+                interim_responses += 1;
+                if interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(ResponseError::TooManyInterimResponses);
+                }
                 continue;
             }
             if request_id.is_none() || head.headers.get(id_header) == request_id {
--- a/crates/agatecourse-gateway/src/request/event_splitter.rs
+++ b/crates/agatecourse-gateway/src/request/event_splitter.rs
@@ -1,3 +1,13 @@
+use snafu::Snafu;
+
+/// Largest event in bytes that is buffered.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Error for an event that is too long to be buffered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("event exceeds {MAX_EVENT_BYTES} bytes"))]
+pub struct EventTooLongError;
+
 /// Splits a stream of server-sent events into complete events and keeps the id of the last one.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EventSplitter {
@@ -12,15 +22,25 @@
     }
 
     /// Appends bytes of the stream and returns the events that are now complete, with their terminating empty lines.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the event at the end exceeds the size limit; complete events before it are then lost.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLongError> {
+        // The bytes before contain no end of an event, but the end may have begun in them.
+        let search_from = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.pending) else { return Vec::new() };
+        let end = last_event_end(&self.pending[search_from..]).map(|end| search_from + end);
+        if self.pending.len() - end.unwrap_or(0) > MAX_EVENT_BYTES {
+            return Err(EventTooLongError);
+        }
+        let Some(end) = end else { return Ok(Vec::new()) };
         let rest = self.pending.split_off(end);
         let complete = std::mem::replace(&mut self.pending, rest);
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
-        complete
+        Ok(complete)
     }
 
     /// Returns the id of the last complete event that had one.
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -14,5 +14,5 @@
 
 pub(crate) use answer::{Reply, error_response};
 pub(crate) use caller_request::CallerRequest;
-pub use event_splitter::EventSplitter;
+pub use event_splitter::{EventSplitter, EventTooLongError};
 pub(crate) use process_request::process_request;
--- a/crates/agatecourse-gateway/src/request/relay.rs
+++ b/crates/agatecourse-gateway/src/request/relay.rs
@@ -62,7 +62,13 @@
                 self.splitter.drop_partial_event();
                 return RelayEnd::TargetFailed { reason: error.to_string() };
             }
-            let events = self.splitter.push(&bytes);
+            let events = match self.splitter.push(&bytes) {
+                Ok(events) => events,
+                Err(error) => {
+                    self.splitter.drop_partial_event();
+                    return RelayEnd::TargetFailed { reason: error.to_string() };
+                }
+            };
             if !events.is_empty() && self.write_events(caller, &events).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
--- a/crates/agatecourse-gateway/tests/http.rs
+++ b/crates/agatecourse-gateway/tests/http.rs
@@ -71,11 +71,11 @@
 #[gtest]
 fn only_complete_events_are_forwarded() {
     let mut splitter = EventSplitter::new();
-    expect_that!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda"), eq(b"id: 1\ndata: a\n\n"));
+    expect_that!(splitter.push(b"id: 1\ndata: a\n\nid: 2\nda"), ok(eq(b"id: 1\ndata: a\n\n")));
     expect_that!(splitter.last_id(), some(eq("1")));
     expect_that!(splitter.has_partial_event(), eq(true));
     splitter.drop_partial_event();
-    expect_that!(splitter.push(b"id: 2\r\ndata: b\r\n\r\n"), eq(b"id: 2\r\ndata: b\r\n\r\n"));
+    expect_that!(splitter.push(b"id: 2\r\ndata: b\r\n\r\n"), ok(eq(b"id: 2\r\ndata: b\r\n\r\n")));
     expect_that!(splitter.last_id(), some(eq("2")));
 }
 
@@ -91,6 +91,18 @@
     out
 }
 
+/// Guards against the end of an event that is missed because it arrives in two reads.
+#[gtest]
+fn event_that_ends_in_two_reads_is_complete() {
+    for text in ["data: a\n\n", "data: a\r\n\r\n"] {
+        for cut in 1..text.len() {
+            let mut splitter = EventSplitter::new();
+            expect_that!(splitter.push(&text.as_bytes()[..cut]), ok(is_empty()), "{cut}");
+            expect_that!(splitter.push(&text.as_bytes()[cut..]), ok(eq(text.as_bytes())), "{cut}");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(300))]
 
@@ -116,8 +128,8 @@
         let _ = parse_response_head(&bytes, "GET");
         let _ = ChunkedDecoder::new().decode(&mut BytesMut::from(&bytes[..]), &mut Vec::new());
         let mut splitter = EventSplitter::new();
-        let mut forwarded = splitter.push(&bytes);
-        forwarded.extend(splitter.push(b"\n\n"));
+        let mut forwarded = splitter.push(&bytes).expect("the event is short");
+        forwarded.extend(splitter.push(b"\n\n").expect("the event is short"));
         prop_assert!(forwarded.len() <= bytes.len() + 2);
     }
 }
