fix(core,gateway): keep what older peers reported about use before a restart

Cause: the assumption that the bound was used replaced knowledge. A node dropped what older peers had reported as soon as they ended, and each restarted node raised the stored bound for use that it only assumed, up to the limit.

Change: the smallest total that an older peer reported limits the use before this process started, also after the peer has ended. Within a second of its start a node raises bounds only for requests that need it. The addition to the limit after a restart is an eighth of the slack: with a quarter, one random case of quota_restart.rs reached 900,000 of 899,543 tokens, from a first burst of 800,000, shares of the slack and first requests of a period.

--- a/crates/agatecourse-core/src/request/quota_bounds.rs
+++ b/crates/agatecourse-core/src/request/quota_bounds.rs
@@ -55,6 +55,8 @@
     pub wanted: u64,
     /// Quota of all nodes together in one window.
     pub limit: u64,
+    /// True if the bound is raised before requests need it; false while the use is only assumed.
+    pub is_raised_ahead: bool,
 }
 
 /// Bounds to store.
--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -41,6 +41,8 @@
     replaced_others_at: Option<Instant>,
     /// Stored bound of the use of ended processes; `None` before it was read, 0 for the default.
     previous_bound: Option<u64>,
+    /// Largest use of ended processes according to older peers, with what had expired of the record by then.
+    previous_use_at_most: Option<u64>,
     /// Bound of the use of all nodes, if it is less than the limit.
     bound: Option<u64>,
     /// Use of all nodes before this process started, with the time at which each amount leaves the window.
@@ -121,6 +123,7 @@
             older_peer_totals: BTreeMap::new(),
             replaced_others_at: None,
             previous_bound: None,
+            previous_use_at_most: None,
             bound: None,
             recorded: Vec::new(),
             recorded_expired: 0,
@@ -218,6 +221,11 @@
     /// Records the use of all nodes as reported by a peer that started earlier than this node; it includes the use of
     /// processes that ended since that peer started, and what the peer assumes of those that ended before.
     pub fn record_older_peer_total(&mut self, now: Instant, node: NodeId, total: u64) {
+        self.expire_recorded(now);
+        // The total holds for use before this process started also after the peer has ended.
+        let at_most = total + self.recorded_expired;
+        self.previous_use_at_most =
+            Some(self.previous_use_at_most.map_or(at_most, |earlier| earlier.min(at_most)));
         self.older_peer_totals.insert(node, (now, total));
     }
 
@@ -350,10 +358,7 @@
     /// Returns the use before this process started that is still in the window: the recorded part, or the largest possible use
     /// less what has expired of the record. An older peer knows the unrecorded part better.
     fn previous_use(&mut self, now: Instant, limit: u64, has_older_peer: bool) -> u64 {
-        let (expired, remaining): (Vec<_>, Vec<_>) =
-            self.recorded.drain(..).partition(|(until, _)| *until <= now);
-        self.recorded = remaining;
-        self.recorded_expired += expired.iter().map(|(_, amount)| *amount).sum::<u64>();
+        self.expire_recorded(now);
         let recorded: u64 = self.recorded.iter().map(|(_, amount)| *amount).sum();
         let is_unknown = self
             .replaced_others_at
@@ -362,9 +367,19 @@
             return recorded;
         }
         let largest = self.previous_bound.map_or(limit, |bound| effective_bound(bound, limit));
+        let largest = self.previous_use_at_most.map_or(largest, |at_most| largest.min(at_most));
         largest.saturating_sub(self.recorded_expired).max(recorded)
     }
 
+    fn expire_recorded(&mut self, now: Instant) {
+        let recorded_expired = &mut self.recorded_expired;
+        self.recorded.retain(|(until, amount)| {
+            let is_expired = *until <= now;
+            *recorded_expired += if is_expired { *amount } else { 0 };
+            !is_expired
+        });
+    }
+
     /// Returns the use of this node and the growth of its peers' use since their first reports.
     fn use_since_first_reports(&self, now: Instant, own: u64) -> u64 {
         let since = self
--- a/crates/agatecourse-core/tests/quota_bounds.rs
+++ b/crates/agatecourse-core/tests/quota_bounds.rs
@@ -8,7 +8,13 @@
 const LIMIT: u64 = 800;
 
 fn demand(used: u64, wanted: u64) -> [BoundDemand; 1] {
-    [BoundDemand { organisation: "org".to_string(), used, wanted, limit: LIMIT }]
+    [BoundDemand {
+        organisation: "org".to_string(),
+        used,
+        wanted,
+        limit: LIMIT,
+        is_raised_ahead: true,
+    }]
 }
 
 fn entries(stored: u64, enforced: u64) -> BTreeMap<String, BoundEntry> {
--- a/crates/agatecourse-core/tests/quota_restart.rs
+++ b/crates/agatecourse-core/tests/quota_restart.rs
@@ -12,7 +12,7 @@
 /// Half of the deployment's slack.
 const SLACK: u64 = 95_000;
 /// Addition to the limit until a window has passed after a restart.
-const RESTART_SLACK: u64 = SLACK / 4;
+const RESTART_SLACK: u64 = SLACK / 8;
 /// Use in a window from which the users' rule is broken.
 const ALLOWED: u64 = 899_543;
 const NODES: usize = 9;
@@ -70,7 +70,9 @@
         let limit = self.limit(now);
         let used = self.window.known_use(now, limit);
         let wanted = std::mem::take(&mut self.wanted);
-        let demand = BoundDemand { organisation: "org".to_string(), used, wanted, limit };
+        let is_raised_ahead = self.restarted_at.is_none_or(|at| now >= at + Duration::from_secs(1));
+        let organisation = "org".to_string();
+        let demand = BoundDemand { organisation, used, wanted, limit, is_raised_ahead };
         let plan = self.bounds.plan(now, &[demand], is_recorder);
         (plan.is_raise, plan.bounds)
     }
--- a/crates/agatecourse-core/tests/quota_window.rs
+++ b/crates/agatecourse-core/tests/quota_window.rs
@@ -259,6 +259,26 @@
     expect_that!(window.try_reserve(start + seconds(6), 50, 100, 0), ok(eq(())));
 }
 
+/// Pattern: nodes restart one after the other until none is left that has counted for a window. Guards against organisations
+/// that are refused although little was used: what an older peer reported holds after the peer has ended. In the soak with
+/// seed 1, 7,195,000 of 7,195,000 tokens counted as used when 59,000 were.
+#[gtest]
+fn total_of_an_older_peer_holds_after_it_has_ended() {
+    let start = Instant::now();
+    let seconds = Duration::from_secs;
+    let mut window = QuotaWindow::new(WINDOW).with_unknown_use_before(start);
+    window.record_previous_use(3, vec![(start + seconds(1), 5), (start + seconds(4), 20)]);
+    window.record_previous_bound(100);
+    window.record_peer(start + seconds(2), "older".to_string(), 10);
+    window.record_older_peer_total(start + seconds(2), "older".to_string(), 40);
+    window.record_restart(start + seconds(3), &"older".to_string());
+    window.record_peer(start + seconds(3), "older".to_string(), 0);
+    window.record_peer(start + seconds(5), "older".to_string(), 0);
+    // Of 40 tokens, 20 have expired; the peer's former process counts by itself too.
+    expect_that!(window.try_reserve(start + seconds(5), 81, 100, 0), err(anything()));
+    expect_that!(window.try_reserve(start + seconds(5), 40, 100, 0), ok(eq(())));
+}
+
 /// Pattern: all nodes are killed and restart together, and an organisation uses all it can before the nodes have heard of
 /// each other. Guards against a node that takes what its peers used in that time for use before the restart: a window held
 /// 940,681 of 899,543 tokens.
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -13,7 +13,10 @@
 
 /// Divisor of the slack that gives the addition to a limit while this process may not know all use; the rest covers late
 /// reports of peers.
-const RESTART_SLACK_DIVISOR: u64 = 4;
+const RESTART_SLACK_DIVISOR: u64 = 8;
+
+/// Time after the start within which a process hears from peers that know the use before it; several heartbeat periods.
+const PEER_REPORT_TIME: Duration = Duration::from_secs(1);
 
 /// Quota use recorded by earlier processes.
 #[derive(Debug)]
@@ -156,6 +159,7 @@
                 used: window.known_use(now, limit),
                 wanted: wanted.get(name).copied().unwrap_or_default(),
                 limit,
+                is_raised_ahead: self.uptime(now) >= PEER_REPORT_TIME,
             })
         });
         bounds.plan(now, &demands.collect::<Vec<_>>(), is_recorder)
