--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -32,8 +32,8 @@
     sent_sum: u64,
     reserved: u64,
     peers: BTreeMap<NodeId, PeerUse>,
-    /// Use of ended processes, with the time at which each amount leaves the window.
-    ended: VecDeque<(Instant, u64)>,
+    /// Use of ended processes.
+    ended: VecDeque<EndedUse>,
     period: Option<SharePeriod>,
     /// Use of all nodes as reported by peers that started earlier than this node, with the time of the report.
     older_peer_totals: BTreeMap<NodeId, (Instant, u64)>,
@@ -57,6 +57,16 @@
     history: UseHistory,
 }
 
+/// Use of a process that has ended.
+#[derive(Debug, Clone, Copy)]
+struct EndedUse {
+    /// Time at which all of the use has left the window.
+    until: Instant,
+    used: u64,
+    /// Part of the use that was not in the process's first report.
+    used_since: u64,
+}
+
 /// Last reported use of a peer and its growth, to extrapolate until the next report.
 #[derive(Debug, Clone, Copy)]
 struct PeerUse {
@@ -202,7 +212,9 @@
     /// report that use.
     pub fn record_restart(&mut self, now: Instant, node: &NodeId) {
         if let Some(peer) = self.peers.get_mut(node) {
-            self.ended.push_back((peer.reported_at + self.width, peer.used));
+            let used_since = peer.used.saturating_sub(peer.used_at_first);
+            let until = peer.reported_at + self.width;
+            self.ended.push_back(EndedUse { until, used: peer.used, used_since });
             *peer = PeerUse {
                 reported_at: now,
                 used: 0,
@@ -310,8 +322,9 @@
         }
         let own = self.own_use(now);
         let (share, taken) = (period.share, period.taken);
-        let needed_by_share = (taken + amount) as f64 / period.fraction;
-        let needed_bound = used + amount.max(needed_by_share as u64);
+        let missing_share = (taken + amount).saturating_sub(share);
+        let needed_for_share = limit + (missing_share as f64 / period.fraction) as u64;
+        let needed_bound = needed_for_share.max(used + amount);
         Err(QuotaRefusal { used, own, limit, share, taken, is_bounded, needed_bound })
     }
 
@@ -328,8 +341,9 @@
         SharePeriod { started: now, limit, unused, fraction, share, taken: 0 }
     }
 
-    /// Returns the largest of three estimates, each of which can miss use: the reports of live and ended processes; the
-    /// totals reported by peers that started earlier; and the use before this process started plus the use since then.
+    /// Returns the largest of the estimates that can miss use: the reports of live and ended processes; and the use before this
+    /// process started, as recorded or at most possible, plus the use since then. The totals of peers that started earlier
+    /// limit what is only possible.
     fn total_use(&mut self, now: Instant, limit: u64) -> u64 {
         let own = self.own_use(now);
         let equal_share = limit / (self.peers.len() as u64 + 1);
@@ -343,32 +357,34 @@
                 peer.expected_use(now)
             })
             .sum();
-        self.ended.retain(|(until, _)| *until > now);
-        let ended: u64 = self.ended.iter().map(|(_, used)| *used).sum();
+        self.ended.retain(|ended| ended.until > now);
+        let ended: u64 = self.ended.iter().map(|ended| ended.used).sum();
         self.older_peer_totals.retain(|_, (reported_at, _)| {
             now.saturating_duration_since(*reported_at) < STALE_AFTER
         });
         let older_peer_total = self.older_peer_totals.values().map(|(_, total)| *total).max();
-        let previous = self.previous_use(now, limit, older_peer_total.is_some());
-        let with_previous =
-            if previous == 0 { 0 } else { previous + self.use_since_first_reports(now, own) };
-        (own + peers + ended).max(older_peer_total.unwrap_or_default()).max(with_previous)
-    }
-
-    /// Returns the use before this process started that is still in the window: the recorded part, or the largest possible use
-    /// less what has expired of the record. An older peer knows the unrecorded part better.
-    fn previous_use(&mut self, now: Instant, limit: u64, has_older_peer: bool) -> u64 {
+        let since = self.use_since_first_reports(now, own);
         self.expire_recorded(now);
         let recorded: u64 = self.recorded.iter().map(|(_, amount)| *amount).sum();
-        let is_unknown = self
-            .replaced_others_at
-            .is_some_and(|at| now.saturating_duration_since(at) < self.width);
-        if !is_unknown || has_older_peer {
-            return recorded;
+        let with_recorded = if recorded == 0 { 0 } else { recorded + since };
+        let known = (own + peers + ended).max(with_recorded);
+        match (self.assumed_previous_use(now, limit), older_peer_total) {
+            (Some(assumed), Some(older)) => known.max((assumed + since).min(older)),
+            (Some(assumed), None) => known.max(assumed + since),
+            (None, older) => known.max(older.unwrap_or_default()),
+        }
+    }
+
+    /// Returns the largest possible use before this process started that is still in the window; `None` if all use is known,
+    /// because a window has passed or this process replaced no others.
+    fn assumed_previous_use(&self, now: Instant, limit: u64) -> Option<u64> {
+        let started = self.replaced_others_at?;
+        if now.saturating_duration_since(started) >= self.width {
+            return None;
         }
         let largest = self.previous_bound.map_or(limit, |bound| effective_bound(bound, limit));
         let largest = self.previous_use_at_most.map_or(largest, |at_most| largest.min(at_most));
-        largest.saturating_sub(self.recorded_expired).max(recorded)
+        Some(largest.saturating_sub(self.recorded_expired))
     }
 
     fn expire_recorded(&mut self, now: Instant) {
@@ -380,13 +396,14 @@
         });
     }
 
-    /// Returns the use of this node and the growth of its peers' use since their first reports.
+    /// Returns the use of this node, and the growth of the use of peers and of ended processes since their first reports.
     fn use_since_first_reports(&self, now: Instant, own: u64) -> u64 {
         let since = self
             .peers
             .values()
             .map(|peer| peer.expected_use(now).saturating_sub(peer.used_at_first));
-        own + since.sum::<u64>()
+        let ended = self.ended.iter().map(|ended| ended.used_since);
+        own + since.sum::<u64>() + ended.sum::<u64>()
     }
 
     /// Moves a reserved amount into the window when its request is sent.
--- a/crates/agatecourse-core/tests/quota_restart.rs
+++ b/crates/agatecourse-core/tests/quota_restart.rs
@@ -47,9 +47,10 @@
         Self { window, bounds: QuotaBounds::new(), restarted_at, has_read, wanted: 0 }
     }
 
-    fn limit(&self, now: Instant) -> u64 {
+    /// Returns the limit and the slack that nodes share.
+    fn limit(&self, now: Instant) -> (u64, u64) {
         let is_young = self.restarted_at.is_some_and(|at| now < at + WINDOW);
-        LIMIT + if is_young { RESTART_SLACK } else { 0 }
+        if is_young { (LIMIT + RESTART_SLACK, 0) } else { (LIMIT, SLACK) }
     }
 
     fn adopt(&mut self, now: Instant, row: &Row) {
@@ -67,7 +68,7 @@
     }
 
     fn plan(&mut self, now: Instant, is_recorder: bool) -> (bool, BTreeMap<String, u64>) {
-        let limit = self.limit(now);
+        let (limit, _) = self.limit(now);
         let used = self.window.known_use(now, limit);
         let wanted = std::mem::take(&mut self.wanted);
         let is_raised_ahead = self.restarted_at.is_none_or(|at| now >= at + Duration::from_secs(1));
@@ -139,10 +140,10 @@
         for _ in 0..offers {
             turn = (turn * 31 + 7) % 1_009;
             let node = &mut nodes[turn % NODES];
-            let limit = node.limit(now);
+            let (limit, slack) = node.limit(now);
             let bound = node.bounds.enforced("org", limit);
             node.window.set_bound(bound);
-            match node.window.try_reserve(now, REQUEST_TOKENS, limit, SLACK) {
+            match node.window.try_reserve(now, REQUEST_TOKENS, limit, slack) {
                 Ok(()) => {
                     node.window.commit(now, REQUEST_TOKENS);
                     sent.push((step, REQUEST_TOKENS));
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -90,7 +90,7 @@
     /// The deployment tolerates some use beyond the quota. With up to `FEW_NODES` nodes, callers may use half of this tolerance,
     /// with more nodes a smaller part; the rest covers use that other nodes have not reported yet. Until a window has passed
     /// after a restart, the use of ended processes may be assumed to reach the limit, and organisations get a little more, so that
-    /// small requests are not refused.
+    /// small requests are not refused; nodes then share no slack, because the ended processes may have used it.
     fn quota_limit(&self, now: Instant, quota: &Quota) -> (u64, u64) {
         let full =
             quota.rate_per_s.saturating_mul(self.settings.quota_window.as_secs()) + quota.burst;
@@ -101,7 +101,7 @@
         let is_settled =
             self.settings.is_first_start || self.uptime(now) >= self.settings.quota_window;
         let slack = slack as u64;
-        (limit + if is_settled { 0 } else { slack / RESTART_SLACK_DIVISOR }, slack)
+        if is_settled { (limit, slack) } else { (limit + slack / RESTART_SLACK_DIVISOR, 0) }
     }
 
     /// Sets the use that the earlier processes of `nodes` nodes recorded `age` ago, with its bounds.
