fix(core): count the use of a forgotten node until it leaves the window

Callers would see: with a quota window longer than the 15 s after which a silent node is forgotten, its use counts no more, and the organisation gets that part of its quota twice. The deployments of today have windows of 8 s, so no run there can show it.

Cause: the same class as the incident's, use that nobody reports any more counts as none. The use now moves to that of ended processes, as it does when a node restarts. Test use_of_a_forgotten_peer_still_counts fails before (20 accepted at 90 of 100).

--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -67,6 +67,13 @@
     used_since: u64,
 }
 
+impl EndedUse {
+    fn new(peer: &PeerUse, width: Duration) -> Self {
+        let used_since = peer.used.saturating_sub(peer.used_at_first);
+        Self { until: peer.reported_at + width, used: peer.used, used_since }
+    }
+}
+
 /// Last reported use of a peer and its growth, to extrapolate until the next report.
 #[derive(Debug, Clone, Copy)]
 struct PeerUse {
@@ -212,9 +219,7 @@
     /// report that use.
     pub fn record_restart(&mut self, now: Instant, node: &NodeId) {
         if let Some(peer) = self.peers.get_mut(node) {
-            let used_since = peer.used.saturating_sub(peer.used_at_first);
-            let until = peer.reported_at + self.width;
-            self.ended.push_back(EndedUse { until, used: peer.used, used_since });
+            self.ended.push_back(EndedUse::new(peer, self.width));
             *peer = PeerUse {
                 reported_at: now,
                 used: 0,
@@ -270,16 +275,19 @@
         self.bound = Some(bound);
     }
 
-    /// Removes a node that has left the membership.
+    /// Removes a node that has left the membership; its use counts until it leaves the window.
     pub fn forget_peer(&mut self, node: &NodeId) {
-        self.peers.remove(node);
+        if let Some(peer) = self.peers.remove(node) {
+            self.ended.push_back(EndedUse::new(&peer, self.width));
+        }
         self.older_peer_totals.remove(node);
     }
 
     /// Reserves an amount if the use of all nodes stays within the limit.
     ///
     /// Peers' counts are up to one period old, so within a period a node reserves only its share of the quota that was
-    /// unused at the period's start. Up to half of it is shared in proportion to the nodes' use so far, the rest equally. All shares together may exceed the unused quota by half of `slack`, the excess that the deployment allows.
+    /// unused at the period's start. Up to half of it is shared in proportion to the nodes' use so far, the rest equally. All
+    /// shares together may exceed the unused quota by half of `slack`, the excess that the deployment allows.
     ///
     /// # Errors
     ///
--- a/crates/agatecourse-core/tests/quota_window.rs
+++ b/crates/agatecourse-core/tests/quota_window.rs
@@ -150,6 +150,20 @@
     expect_that!(window.try_reserve(start + Duration::from_secs(9), 20, 100, 0), ok(eq(())));
 }
 
+/// Guards against use that is forgotten when its node leaves the membership, which may be sooner than the use leaves a wide
+/// window.
+#[gtest]
+fn use_of_a_forgotten_peer_still_counts() {
+    let start = Instant::now();
+    let width = Duration::from_secs(30);
+    let (mut window, peer) = (QuotaWindow::new(width), "peer".to_string());
+    window.record_peer(start, peer.clone(), 90);
+    window.forget_peer(&peer);
+    let later = start + Duration::from_secs(15);
+    expect_that!(window.try_reserve(later, 20, 100, 0), err(anything()));
+    expect_that!(window.try_reserve(start + width, 20, 100, 0), ok(eq(())));
+}
+
 /// Guards against a reserved amount that is lost when its request is not sent.
 #[gtest]
 fn released_amount_may_be_used_again() {
