--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -183,3 +183,6 @@
         postcard::from_bytes(&buffer[..length + DECODE_PADDING_BYTES])
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/agatecourse-gateway/src/process/peer_message/tests.rs
@@ -0,0 +1,81 @@
+use super::*;
+use googletest::prelude::*;
+
+/// Heartbeat as nodes before the quota bounds sent it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierHeartbeat {
+    started_unix_ms: u64,
+    uptime_ms: u32,
+    is_stopping: bool,
+    members: Vec<(NodeId, Ipv4Addr)>,
+    documents: SmallVec<[(DocumentId, u64); 2]>,
+    usage: Vec<OrganisationUse>,
+    crashes: Vec<(CrashFingerprint, TargetHash)>,
+    rollouts: SmallVec<[RolloutReport; 1]>,
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierMessage {
+    Heartbeat(EarlierHeartbeat),
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierEnvelope {
+    from: NodeId,
+    message: EarlierMessage,
+}
+
+fn usage() -> Vec<OrganisationUse> {
+    vec![OrganisationUse { organisation: u64::MAX, own: 300, total: 70_000 }]
+}
+
+/// Guards against nodes of two versions that do not understand each other's heartbeats while one replaces the other.
+#[gtest]
+fn heartbeats_of_earlier_nodes_decode_with_empty_values() {
+    let earlier = EarlierEnvelope {
+        from: "n1".to_string(),
+        message: EarlierMessage::Heartbeat(EarlierHeartbeat {
+            started_unix_ms: 9,
+            uptime_ms: 1,
+            is_stopping: true,
+            members: vec![("n2".to_string(), Ipv4Addr::LOCALHOST)],
+            documents: SmallVec::from_slice(&[(1, 2)]),
+            usage: usage(),
+            crashes: vec![(3, 4)],
+            rollouts: SmallVec::new(),
+        }),
+    };
+    let mut buffer = vec![0xff_u8; MAX_MESSAGE_BYTES];
+    let length = postcard::to_slice(&earlier, &mut buffer).expect("it fits").len();
+    let decoded = PeerEnvelope::decode(&mut buffer, length).expect("it decodes");
+    let PeerMessage::Heartbeat(heartbeat) = decoded.message else { panic!("not a heartbeat") };
+    expect_that!(heartbeat.usage, eq(&usage()));
+    expect_that!(heartbeat.crashes, eq(&vec![(3, 4)]));
+    expect_that!(heartbeat.quota_bounds_version, eq(0));
+    expect_that!(heartbeat.quota_reports, is_empty());
+    expect_that!(heartbeat.is_usage_complete, eq(false));
+}
+
+/// Guards against heartbeats of this version that nodes of earlier ones reject.
+#[gtest]
+fn earlier_nodes_decode_heartbeats() {
+    let envelope = PeerEnvelope {
+        from: "n1".to_string(),
+        message: PeerMessage::Heartbeat(Heartbeat {
+            started_unix_ms: 9,
+            usage: usage(),
+            quota_bounds_version: 5,
+            quota_reports: vec![QuotaReport { sent_total: 1, stored_bound: 2, enforced_bound: 3 }],
+            is_usage_complete: true,
+            ..Heartbeat::default()
+        }),
+    };
+    let bytes = postcard::to_allocvec(&envelope).expect("it can be encoded");
+    let earlier: EarlierEnvelope = postcard::from_bytes(&bytes).expect("it decodes");
+    let EarlierMessage::Heartbeat(heartbeat) = earlier.message;
+    expect_that!(heartbeat.started_unix_ms, eq(9));
+    expect_that!(heartbeat.usage, eq(&usage()));
+    let mut buffer = vec![0_u8; MAX_MESSAGE_BYTES];
+    buffer[..bytes.len()].copy_from_slice(&bytes);
+    expect_that!(PeerEnvelope::decode(&mut buffer, bytes.len()), ok(eq(&envelope)));
+}
