fix(core,gateway): give nodes shares that fit their requests on large deployments

Cause: with 65 nodes and a bound an eighth above the use, a node's share of half a second is less than two requests, and nodes that raise the bound at the same time overtake each other's conditional writes within the 100 ms. The slack in the shares was the part of the tolerance that callers use, which shrinks with the number of nodes, and not the rest.

Change: bounds are again raised at an eighth of the limit above the use, to a quarter above it. Shares may exceed the unused quota by half of what callers do not use of the slack; for up to 16 nodes this is the same as before.

--- a/crates/agatecourse-core/src/request/quota_bounds.rs
+++ b/crates/agatecourse-core/src/request/quota_bounds.rs
@@ -5,9 +5,9 @@
 /// Divisor of the limit that gives the bound of organisations without an entry.
 const DEFAULT_BOUND_DIVISOR: u64 = 2;
 /// Divisor of the limit that gives the least distance between use and bound; a smaller one raises the bound.
-const LEAST_HEADROOM_DIVISOR: u64 = 16;
+const LEAST_HEADROOM_DIVISOR: u64 = 8;
 /// Divisor of the limit that gives the distance between use and a new bound.
-const NEW_HEADROOM_DIVISOR: u64 = 8;
+const NEW_HEADROOM_DIVISOR: u64 = 4;
 /// Time for which a lower bound must be sufficient before it replaces a higher one.
 const LOWER_AFTER: Duration = Duration::from_secs(3);
 /// Time for which all nodes enforce a lower bound before it is stored; several heartbeat periods.
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -85,23 +85,28 @@
         self.bound_wanted.notified().await;
     }
 
-    /// Returns the limit of use in a window and the slack that it includes.
+    /// Returns the limit of use in a window and the slack by which the shares of all nodes may exceed the unused quota.
     ///
     /// The deployment tolerates some use beyond the quota. With up to `FEW_NODES` nodes, callers may use half of this tolerance,
-    /// with more nodes a smaller part; the rest covers use that other nodes have not reported yet. Until a window has passed
+    /// with more nodes a smaller part; the rest is the slack, which covers use that other nodes have not reported yet. Until a window has passed
     /// after a restart, the use of ended processes may be assumed to reach the limit, and organisations get a little more, so that
-    /// small requests are not refused; nodes then share no slack, because the ended processes may have used it.
+    /// small requests are not refused; the slack is then smaller, because the ended processes may have used it.
     fn quota_limit(&self, now: Instant, quota: &Quota) -> (u64, u64) {
         let full =
             quota.rate_per_s.saturating_mul(self.settings.quota_window.as_secs()) + quota.burst;
         let nodes = self.node_count();
         let part = 0.5 * (FEW_NODES / nodes as f64).min(1.0);
-        let slack = if quota.counts_tokens { self.settings.quota_slack as f64 * part } else { 0.0 };
-        let limit = full + (full as f64 * self.settings.quota_overage * part + slack) as u64;
+        let tolerated = if quota.counts_tokens { self.settings.quota_slack as f64 } else { 0.0 };
+        let limit =
+            full + (full as f64 * self.settings.quota_overage * part + tolerated * part) as u64;
         let is_settled =
             self.settings.is_first_start || self.uptime(now) >= self.settings.quota_window;
-        let slack = slack as u64;
-        if is_settled { (limit, slack) } else { (limit + slack / RESTART_SLACK_DIVISOR, 0) }
+        if is_settled {
+            (limit, (tolerated * (1.0 - part)) as u64)
+        } else {
+            let restart_slack = (tolerated * part) as u64 / RESTART_SLACK_DIVISOR;
+            (limit + restart_slack, (tolerated * (1.0 - 2.0 * part)) as u64)
+        }
     }
 
     /// Sets the use that the earlier processes of `nodes` nodes recorded `age` ago, with its bounds.
