feat(gateway): log the prompt parts of requests whose target ended

The logs did not tell whether crashes are counted under no shared key or whether the evidence is lost between nodes. The line about an unreachable target now names the request, the keys of its prompt parts and whether its answer had begun.

Ruled out: that requests are sent between a crash and the time at which nodes know of it.

--- a/crates/agatecourse-gateway/src/request/admission.rs
+++ b/crates/agatecourse-gateway/src/request/admission.rs
@@ -1,9 +1,9 @@
 use super::quota_reservation::QuotaReservation;
+use super::suspect_keys::{SuspectKeys, suspect_keys};
 use super::workload::Workload;
 use super::{CallerRequest, Reply};
 use crate::process::Gateway;
 use crate::version::{Deployment, Route, ServiceId};
-use agatecourse_core::request::CrashFingerprint;
 use agatecourse_types::{OrganisationId, ResultCode, stable_hash};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -49,8 +49,8 @@
     /// True when the configuration has organisations; the `Authorization` header then holds an API key for the node and is
     /// not forwarded to targets.
     pub(crate) uses_api_keys: bool,
-    /// Identifies a repeated request, to quarantine it after it has crashed targets.
-    pub(crate) fingerprint: CrashFingerprint,
+    /// Keys under which crashes of this request's targets are counted; the first identifies repeats of the request.
+    pub(crate) suspect_keys: SuspectKeys,
 }
 
 /// Checks route, quarantine, API key and quota of a request; returns the refusal when one of them fails.
@@ -68,8 +68,8 @@
         let reason = format!("configuration {}", deployment.version);
         return Err(Reply::error(ResultCode::UnknownRoute, reason).into());
     };
-    let fingerprint = fingerprint(request);
-    let (crashes, is_quarantined) = gateway.crashes(now, fingerprint);
+    let suspect_keys = suspect_keys(request, &gateway.header_names);
+    let (crashes, is_quarantined) = gateway.crashes(now, suspect_keys[0]);
     if is_quarantined {
         let reason = format!("the request has crashed {crashes} targets");
         return Err(Reply::refusal(ResultCode::Quarantined, QUARANTINE_RETRY, reason).into());
@@ -84,7 +84,7 @@
         workload,
         deployment_version: deployment.version,
         quota: None,
-        fingerprint,
+        suspect_keys,
         uses_api_keys: !deployment.organisations.is_empty(),
         route,
     };
@@ -119,12 +119,6 @@
     Ok(admitted)
 }
 
-/// Hashes path, caller credentials and body, so that a repeated request gets the same fingerprint.
-fn fingerprint(request: &CallerRequest) -> CrashFingerprint {
-    let caller = request.head.headers.get("authorization").unwrap_or_default();
-    stable_hash(&[request.head.path.as_bytes(), caller.as_bytes(), &request.body])
-}
-
 /// Returns the organisation of the request's API key. Without a known key, returns `None` on a public route, else a refusal.
 fn find_organisation(
     gateway: &Gateway,
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod process_request;
 mod quota_reservation;
 mod relay;
+mod suspect_keys;
 mod workload;
 
 pub(crate) use answer::{Reply, error_response};
--- a/crates/agatecourse-gateway/src/request/process_request.rs
+++ b/crates/agatecourse-gateway/src/request/process_request.rs
@@ -8,7 +8,6 @@
 use crate::connection::{ResponseHead, TargetConnection};
 use crate::process::{Gateway, Placement, WireJob};
 use crate::version::Target;
-use agatecourse_core::request::CrashFingerprint;
 use agatecourse_core::request::dispatch::RunEnd;
 use agatecourse_types::{ResultCode, TargetId, stable_hash};
 use slog::{info, warn};
@@ -330,7 +329,6 @@
         caller: &mut OwnedWriteHalf,
         may_have_run: &Cell<bool>,
     ) -> NextStep {
-        let gateway = self.gateway;
         let kind = self.admitted.route.kind;
         match end {
             AttemptEnd::Complete { head, body } => {
@@ -385,7 +383,7 @@
             }
             AttemptEnd::Lost { reason } => {
                 guard.end(RunEnd::Broken);
-                spawn_crash_check(gateway, target, self.admitted.fingerprint);
+                self.spawn_crash_check(target, false);
                 if kind.is_repeatable() && self.try_take_retry() {
                     return NextStep::Retry;
                 }
@@ -427,7 +425,7 @@
             }),
             RelayEnd::TargetFailed { reason } => {
                 drop(connection);
-                spawn_crash_check(gateway, target, self.admitted.fingerprint);
+                self.spawn_crash_check(target, self.relay.has_started());
                 gateway.pool.borrow_mut().remove_target(&target.id);
                 guard.end(RunEnd::Broken);
                 warn!(gateway.log, "stream broke"; "request" => self.request.id(&gateway.header_names),
@@ -483,20 +481,23 @@
             "sent_attempts" => self.sent_attempts, "max_attempts" => self.admitted.route.max_attempts,
             "targets_age_ms" => gateway.targets_age(Instant::now()).as_millis() as u64);
     }
-}
 
-/// Checks with a new connection whether a target whose answer was lost has crashed, and records the crash.
-fn spawn_crash_check(gateway: &Rc<Gateway>, target: &Rc<Target>, fingerprint: CrashFingerprint) {
-    let (gateway, target) = (Rc::clone(gateway), Rc::clone(target));
-    actix_rt::spawn(async move {
-        tokio::time::sleep(CRASH_CHECK_DELAY).await;
-        if let Err(error) = TargetConnection::connect(target.address).await {
-            let hash = stable_hash(&[target.id.as_bytes()]) as u32;
-            warn!(gateway.log, "target unreachable after a lost response"; "target" => &target.id,
-                "fingerprint" => fingerprint, "error" => error.to_string());
-            gateway.record_crash(Instant::now(), fingerprint, hash, "own");
-        }
-    });
+    /// Checks with a new connection whether a target whose answer was lost has crashed, and records the crash.
+    fn spawn_crash_check(&self, target: &Rc<Target>, has_begun: bool) {
+        let (gateway, target) = (Rc::clone(self.gateway), Rc::clone(target));
+        let keys = self.admitted.suspect_keys.clone();
+        let request = self.request.id(&gateway.header_names).unwrap_or_default().to_string();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(CRASH_CHECK_DELAY).await;
+            if let Err(error) = TargetConnection::connect(target.address).await {
+                let hash = stable_hash(&[target.id.as_bytes()]) as u32;
+                warn!(gateway.log, "target unreachable after a lost response"; "target" => &target.id,
+                    "request" => request, "answer_begun" => has_begun, "suspect_keys" => format!("{keys:x?}"),
+                    "error" => error.to_string());
+                gateway.record_crash(Instant::now(), keys[0], hash, "own");
+            }
+        });
+    }
 }
 
 /// Serializes a target's complete response for the caller.
