--- a/crates/agatecourse-core/benches/dispatch.rs
+++ b/crates/agatecourse-core/benches/dispatch.rs
@@ -60,6 +60,7 @@
             is_retry: false,
             version: String::new(),
             avoided_version: String::new(),
+            suspects: SmallVec::new(),
         };
         let mut decisions = Vec::new();
         self.dispatcher.submit(self.now, job, &mut decisions);
--- /dev/null
+++ b/crates/agatecourse-core/src/request/crash_ledger/crash_report.rs
@@ -0,0 +1,15 @@
+use super::{SuspectKeys, TargetHash};
+use std::time::Instant;
+
+/// A target crashed while it ran a request whose answer had not begun.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashReport {
+    /// Target that crashed.
+    pub target: TargetHash,
+    /// Time at which the request was sent to the target.
+    pub started: Instant,
+    /// Time at which the connection to the target broke.
+    pub ended: Instant,
+    /// Keys of the request.
+    pub keys: SuspectKeys,
+}
--- a/crates/agatecourse-core/src/request/dispatch/dispatch_queue.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatch_queue.rs
@@ -16,6 +16,10 @@
         self.jobs.iter()
     }
 
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Job> {
+        self.jobs.iter_mut()
+    }
+
     pub(super) fn contains(&self, key: &JobKey) -> bool {
         self.jobs.iter().any(|job| job.key == *key)
     }
--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -2,8 +2,10 @@
 use super::service_profile::ServiceProfile;
 use super::target_view::{Run, TargetView};
 use super::{Decision, DispatchTarget, Job, JobKey, JobNumber, RunEnd, RunReport};
+use crate::request::SuspectKey;
 use agatecourse_types::{NodeId, TargetId};
 use serde::Serialize;
+use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -172,13 +174,35 @@
             if self.target_of(&key).is_none()
                 && let Some(view) = self.targets.get_mut(target)
             {
-                let run = Run { kind: 0, relative_size: 1.0, granted: now, expected_s: 0.0 };
+                let run = Run {
+                    kind: 0,
+                    relative_size: 1.0,
+                    granted: now,
+                    expected_s: 0.0,
+                    suspects: SmallVec::new(),
+                };
                 view.runs.insert(key, run);
             }
         }
         self.assign_free_slots(now, decisions);
     }
 
+    /// Removes suspects that were found not to crash targets, so that attempts no longer wait for each other.
+    pub fn clear_suspects(
+        &mut self,
+        now: Instant,
+        cleared: &[SuspectKey],
+        decisions: &mut Vec<Decision>,
+    ) {
+        for job in self.queue.iter_mut() {
+            job.suspects.retain(|suspect| !cleared.contains(suspect));
+        }
+        for run in self.targets.values_mut().flat_map(|view| view.runs.values_mut()) {
+            run.suspects.retain(|suspect| !cleared.contains(suspect));
+        }
+        self.assign_free_slots(now, decisions);
+    }
+
     /// Drops all attempts of a node that has left.
     pub fn forget_node(&mut self, now: Instant, node: &NodeId, decisions: &mut Vec<Decision>) {
         self.queue.retain(|job| job.key.node != *node);
@@ -243,13 +267,27 @@
         if self.targets.values().all(|view| view.free_slots(now) == 0) {
             return None;
         }
-        let candidates = || self.queue.iter().filter(|job| !unplaced.contains(&job.key));
+        let candidates = || {
+            self.queue.iter().filter(|job| !unplaced.contains(&job.key) && !self.is_held(now, job))
+        };
         let first = candidates().next()?;
         let starved =
             candidates().find(|job| job.rank > first.rank && self.is_starved(now, job.rank));
         Some(starved.unwrap_or(first).key.clone())
     }
 
+    /// Returns whether an attempt waits for another run to show whether a suspect that both share crashes targets.
+    fn is_held(&self, now: Instant, job: &Job) -> bool {
+        let shares_suspect =
+            |run: &Run| job.suspects.iter().any(|suspect| run.suspects.contains(suspect));
+        !job.suspects.is_empty()
+            && self
+                .targets
+                .values()
+                .flat_map(|view| view.runs.values())
+                .any(|run| run.is_trial(now) && shares_suspect(run))
+    }
+
     /// Returns whether the recently served share of a rank's requests is below [`MIN_SERVED_SHARE`].
     fn is_starved(&self, now: Instant, rank: u32) -> bool {
         let recent = self.outcomes.iter().filter(|outcome| {
@@ -337,11 +375,19 @@
                 job.avoided_version.is_empty() || view.spec.version != job.avoided_version
             })
             // Targets that were unreachable come last, so that a request which can't be retried doesn't probe whether they
-            // are back while another target is free.
+            // are back while another target is free. A request that may crash its target runs where the fewest others run, and
+            // others avoid that target meanwhile.
             .min_by(|a, b| {
-                let key = |view: &TargetView| (u8::from(!view.is_reachable()), score(view));
+                let key = |view: &TargetView| {
+                    let endangered = if job.suspects.is_empty() {
+                        usize::from(view.has_trial(now))
+                    } else {
+                        view.runs.len()
+                    };
+                    (u8::from(!view.is_reachable()), endangered, score(view))
+                };
                 let (a, b) = (key(a), key(b));
-                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+                (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
             })
             .map(|view| view.spec.id.clone())
     }
@@ -349,8 +395,13 @@
     fn start_run(&mut self, now: Instant, job: &Job, target: &TargetId) {
         let expected_s = self.profile.expected_s(job.kind, job.relative_size);
         if let Some(view) = self.targets.get_mut(target) {
-            let run =
-                Run { kind: job.kind, relative_size: job.relative_size, granted: now, expected_s };
+            let run = Run {
+                kind: job.kind,
+                relative_size: job.relative_size,
+                granted: now,
+                expected_s,
+                suspects: job.suspects.clone(),
+            };
             view.runs.insert(job.key.clone(), run);
             view.record_cached_prefix(now, job.shared_part);
         }
--- a/crates/agatecourse-core/src/request/dispatch/job.rs
+++ b/crates/agatecourse-core/src/request/dispatch/job.rs
@@ -1,3 +1,4 @@
+use crate::request::SuspectKey;
 use agatecourse_types::{NodeId, TargetId, VersionId};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -46,6 +47,8 @@
     pub version: VersionId,
     /// Version that the target must not run; empty for none.
     pub avoided_version: VersionId,
+    /// Keys of the request that may have crashed targets; requests that share one run one after the other.
+    pub suspects: SmallVec<[SuspectKey; 2]>,
 }
 
 /// Decision of the dispatcher about an attempt.
--- a/crates/agatecourse-core/src/request/dispatch/target_view.rs
+++ b/crates/agatecourse-core/src/request/dispatch/target_view.rs
@@ -1,5 +1,7 @@
 use super::{JobKey, RunEnd};
+use crate::request::SuspectKey;
 use agatecourse_types::TargetId;
+use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -17,6 +19,9 @@
 /// again is no longer penalised, so the target gets no score bonus for it.
 const PREFIX_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Time within which a run shows whether it crashes its target; longer than the first event of a stream takes under load.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Configuration of a target that may get requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DispatchTarget {
@@ -38,6 +43,15 @@
     pub(super) granted: Instant,
     /// Expected run time in seconds on a target of mean speed; 0 for a run taken over from another queue owner.
     pub(super) expected_s: f64,
+    /// Keys of the request that may crash the target.
+    pub(super) suspects: SmallVec<[SuspectKey; 2]>,
+}
+
+impl Run {
+    /// Returns whether the run is still expected to show whether a suspect crashes its target.
+    pub(super) fn is_trial(&self, now: Instant) -> bool {
+        !self.suspects.is_empty() && now.saturating_duration_since(self.granted) < TRIAL_TIMEOUT
+    }
 }
 
 /// State and learned performance of a target.
@@ -77,6 +91,11 @@
         slots.saturating_sub(self.runs.len() as u32)
     }
 
+    /// Returns whether a request on the target may crash it.
+    pub(super) fn has_trial(&self, now: Instant) -> bool {
+        self.runs.values().any(|run| run.is_trial(now))
+    }
+
     /// Returns when the pause ends, if the target is paused.
     pub(super) fn pause_end(&self, now: Instant) -> Option<Instant> {
         self.paused_until.filter(|until| *until > now)
--- a/crates/agatecourse-core/src/request/mod.rs
+++ b/crates/agatecourse-core/src/request/mod.rs
@@ -9,7 +9,9 @@
 mod quota_window;
 mod use_history;
 
-pub use crash_ledger::{CrashFingerprint, CrashLedger, TargetHash};
+pub use crash_ledger::{
+    CrashLedger, CrashReport, CrashVerdict, QuarantinedKey, SuspectKey, SuspectKeys, TargetHash,
+};
 pub use key_owner::{KeyDecision, KeyOwner, decide_key};
 pub use quarantine::{Admission, Quarantine, QuarantineEvent};
 pub use quota_bounds::{BoundDemand, BoundEntry, BoundPlan, QuotaBounds};
--- /dev/null
+++ b/crates/agatecourse-core/tests/crashing_parts.rs
@@ -0,0 +1,505 @@
+//! Simulation of requests with a prompt part that crashes targets, on several nodes in virtual time.
+//!
+//! Each node has a [`CrashLedger`]; crashes and cleared keys reach the others after a delay and may be lost. One [`Dispatcher`] owns
+//! the queue. The bounds are the users': from `STABLE_WINDOW` after the fifth crash, at most three more requests with the part
+//! may reach targets, and sound requests that share its first part are served at least half as often as others.
+
+use agatecourse_core::request::dispatch::{
+    Decision, DispatchTarget, Dispatcher, Job, JobKey, RunEnd, RunReport,
+};
+use agatecourse_core::request::{
+    CrashLedger, CrashReport, CrashVerdict, SuspectKey, SuspectKeys, TargetHash,
+};
+use googletest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_core::{Rng, SeedableRng};
+use smallvec::SmallVec;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Time after the fifth crash from which the users count requests with the part.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Requests with the part that the users tolerate after that.
+const MAX_LATE_REQUESTS: u32 = 3;
+/// Crashes until the users expect the part to be known.
+const TOLERATED_CRASHES: usize = 5;
+const LENGTH: Duration = Duration::from_secs(26);
+const DEADLY_PART: SuspectKey = 1;
+/// First parts of prompts; requests with the deadly part have the first of them.
+const FIRST_PARTS: u64 = 50;
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
+/// Time for which a crashed target is down.
+const DOWN_TIME: Duration = Duration::from_secs(3);
+/// Time from the loss of an answer until the target is known to have crashed.
+const CHECK_TIME: Duration = Duration::from_millis(32);
+
+#[derive(Debug, Clone, Copy)]
+struct Day {
+    nodes: usize,
+    targets: usize,
+    requests_per_s: f64,
+    deadly_share: f64,
+    /// Share of the messages between nodes that are lost.
+    loss: f64,
+    /// True if the nodes are replaced one after the other from 8 s on.
+    has_restarts: bool,
+    /// Mean number of targets per second that end by themselves.
+    own_crashes_per_s: f64,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Arrive,
+    Grant(JobKey, usize),
+    /// Run and whether its first or its second event is due.
+    Progress(JobKey, bool),
+    End(JobKey),
+    /// The node has checked that the target of a lost run has crashed.
+    Checked(JobKey, TargetHash, Instant),
+    Up(usize),
+    OwnCrash(usize),
+    Report(usize, CrashReport),
+    Cleared(usize, SuspectKeys),
+    Heartbeat(usize),
+    Restart(usize),
+    Timer,
+}
+
+#[derive(Debug, Clone)]
+struct Request {
+    node: usize,
+    keys: SuspectKeys,
+    is_deadly: bool,
+    target: Option<usize>,
+    sent: Instant,
+    has_begun: bool,
+    goes_on: bool,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Counts {
+    offered: u32,
+    begun: u32,
+    /// Requests that were refused because they share something with requests that crash targets.
+    quarantined: u32,
+}
+
+struct Simulation {
+    day: Day,
+    rng: ChaCha8Rng,
+    now: Instant,
+    start: Instant,
+    events: BTreeMap<(Instant, u64), Event>,
+    next_number: u64,
+    ledgers: Vec<CrashLedger>,
+    dispatcher: Dispatcher,
+    requests: BTreeMap<JobKey, Request>,
+    is_down: Vec<bool>,
+    crashes: Vec<Instant>,
+    late_requests: u32,
+    /// Sound requests with the first part of the deadly ones.
+    sharing: Counts,
+    others: Counts,
+}
+
+impl Simulation {
+    fn new(day: Day, seed: u64) -> Self {
+        let start = Instant::now() + Duration::from_mins(1);
+        let mut dispatcher = Dispatcher::new();
+        let targets = (0..day.targets).map(|index| DispatchTarget {
+            id: index.to_string(),
+            slots: 4,
+            zone: "a".to_string(),
+            version: "v1".to_string(),
+        });
+        dispatcher.set_targets(start, targets.collect(), &mut Vec::new());
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: start,
+            start,
+            events: BTreeMap::new(),
+            next_number: 0,
+            ledgers: vec![CrashLedger::new(); day.nodes],
+            dispatcher,
+            requests: BTreeMap::new(),
+            is_down: vec![false; day.targets],
+            crashes: Vec::new(),
+            late_requests: 0,
+            sharing: Counts::default(),
+            others: Counts::default(),
+            day,
+        }
+    }
+
+    fn run(mut self) -> Self {
+        self.schedule(Duration::ZERO, Event::Arrive);
+        self.schedule(Duration::ZERO, Event::Timer);
+        for node in 0..self.day.nodes {
+            let first = HEARTBEAT_PERIOD.mul_f64(self.random());
+            self.schedule(first, Event::Heartbeat(node));
+            if self.day.has_restarts {
+                self.schedule(Duration::from_secs(8 + node as u64), Event::Restart(node));
+            }
+        }
+        let own_crashes = self.day.own_crashes_per_s * LENGTH.as_secs_f64();
+        for _ in 0..own_crashes as usize {
+            let (at, target) = (LENGTH.mul_f64(self.random()), self.pick(self.day.targets));
+            self.schedule(at, Event::OwnCrash(target));
+        }
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at > self.start + LENGTH {
+                break;
+            }
+            self.now = at;
+            self.step(event);
+        }
+        self
+    }
+
+    fn random(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / f64::from(u32::MAX)
+    }
+
+    fn pick(&mut self, count: usize) -> usize {
+        self.rng.next_u32() as usize % count
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.next_number += 1;
+        self.events.insert((self.now + delay, self.next_number), event);
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Grant(key, target) => self.send(&key, target),
+            Event::Progress(key, is_second) => self.progress(&key, is_second),
+            Event::End(key) => self.end(&key, RunEnd::Answered),
+            Event::Checked(key, target, ended) => self.record_crash(&key, target, ended),
+            Event::Up(target) => self.is_down[target] = false,
+            Event::OwnCrash(target) => self.crash(target),
+            Event::Report(node, report) => {
+                self.ledgers[node].record(self.now, report);
+            }
+            Event::Cleared(node, keys) => self.clear(node, &keys),
+            Event::Heartbeat(node) => self.send_heartbeat(node),
+            Event::Restart(node) => self.ledgers[node] = CrashLedger::new(),
+            Event::Timer => {
+                self.decide(Dispatcher::on_timer);
+                self.schedule(Duration::from_millis(20), Event::Timer);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let gap = Duration::from_secs_f64(2.0 * self.random() / self.day.requests_per_s);
+        self.schedule(gap, Event::Arrive);
+        let is_deadly = self.random() < self.day.deadly_share;
+        let first_part = if is_deadly { 0 } else { self.pick(FIRST_PARTS as usize) as u64 };
+        self.next_number += 1;
+        let mut keys = SuspectKeys::from_slice(&[1_000_000 + self.next_number, 100 + first_part]);
+        if is_deadly {
+            keys.push(DEADLY_PART);
+        }
+        let node = self.pick(self.day.nodes);
+        let key = JobKey { node: node.to_string(), number: self.next_number };
+        let request = Request {
+            node,
+            keys,
+            is_deadly,
+            target: None,
+            sent: self.now,
+            has_begun: false,
+            goes_on: false,
+        };
+        if let Some(counts) = self.counts(&request) {
+            counts.offered += 1;
+        }
+        self.requests.insert(key.clone(), request);
+        self.submit(&key);
+    }
+
+    fn counts(&mut self, request: &Request) -> Option<&mut Counts> {
+        match (request.is_deadly, request.keys[1] == 100) {
+            (true, _) => None,
+            (false, true) => Some(&mut self.sharing),
+            (false, false) => Some(&mut self.others),
+        }
+    }
+
+    fn submit(&mut self, key: &JobKey) {
+        let request = self.requests[key].clone();
+        let suspects = match self.ledgers[request.node].verdict(self.now, &request.keys) {
+            CrashVerdict::Quarantined { .. } => return self.quarantine(key),
+            CrashVerdict::Suspect(suspects) => suspects,
+            CrashVerdict::Clear => SmallVec::new(),
+        };
+        let job = Job {
+            key: key.clone(),
+            kind: 0,
+            rank: 0,
+            arrived: self.now,
+            objective: self.now + Duration::from_secs(1),
+            deadline: self.now + Duration::from_secs(8),
+            relative_size: 1.0,
+            prompt_tokens: 0,
+            shared_part: 0,
+            zone: "a".to_string(),
+            excluded: SmallVec::new(),
+            is_retry: false,
+            version: String::new(),
+            avoided_version: String::new(),
+            suspects,
+        };
+        self.decide(|dispatcher, now, decisions| dispatcher.submit(now, job, decisions));
+    }
+
+    fn decide(&mut self, act: impl FnOnce(&mut Dispatcher, Instant, &mut Vec<Decision>)) {
+        let mut decisions = Vec::new();
+        act(&mut self.dispatcher, self.now, &mut decisions);
+        for decision in decisions {
+            match decision {
+                Decision::Grant { key, target } => {
+                    let target = target.parse().expect("ids of targets are numbers");
+                    self.schedule(Duration::from_millis(1), Event::Grant(key, target));
+                }
+                Decision::Refuse { key, .. } => {
+                    self.requests.remove(&key);
+                }
+            }
+        }
+    }
+
+    fn quarantine(&mut self, key: &JobKey) {
+        if let Some(request) = self.requests.remove(key)
+            && let Some(counts) = self.counts(&request)
+        {
+            counts.quarantined += 1;
+        }
+    }
+
+    fn send(&mut self, key: &JobKey, target: usize) {
+        let Some(request) = self.requests.get(key) else {
+            return self.finish(key, RunEnd::Unused);
+        };
+        let verdict = self.ledgers[request.node].verdict(self.now, &request.keys);
+        if matches!(verdict, CrashVerdict::Quarantined { .. }) {
+            self.finish(key, RunEnd::Unused);
+            return self.quarantine(key);
+        }
+        if self.is_down[target] {
+            self.finish(key, RunEnd::Unreachable);
+            return self.submit(key);
+        }
+        let fifth = self.crashes.get(TOLERATED_CRASHES - 1).copied();
+        let is_late = fifth.is_some_and(|fifth| self.now >= fifth + STABLE_WINDOW);
+        let until_first_event = Duration::from_secs_f64(0.05 + 0.15 * self.random());
+        let now = self.now;
+        if let Some(request) = self.requests.get_mut(key) {
+            request.target = Some(target);
+            request.sent = now;
+            self.late_requests += u32::from(is_late && request.is_deadly);
+        }
+        self.schedule(until_first_event, Event::Progress(key.clone(), false));
+    }
+
+    fn progress(&mut self, key: &JobKey, is_second: bool) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let Some(target) = request.target else { return };
+        if request.is_deadly {
+            return self.crash(target);
+        }
+        if is_second {
+            request.goes_on = true;
+            let (node, keys) = (request.node, request.keys.clone());
+            let cleared = self.ledgers[node].clear(self.now, &keys);
+            if !cleared.is_empty() {
+                self.clear_in_queue(node, &cleared);
+                self.broadcast(node, |peer| Event::Cleared(peer, cleared.clone()));
+            }
+            self.schedule(Duration::from_millis(500), Event::End(key.clone()));
+        } else {
+            request.has_begun = true;
+            let request = request.clone();
+            if let Some(counts) = self.counts(&request) {
+                counts.begun += 1;
+            }
+            self.schedule(Duration::from_millis(30), Event::Progress(key.clone(), true));
+        }
+    }
+
+    fn clear(&mut self, node: usize, keys: &[SuspectKey]) {
+        let cleared = self.ledgers[node].clear(self.now, keys);
+        self.clear_in_queue(node, &cleared);
+    }
+
+    /// The first node owns the queue.
+    fn clear_in_queue(&mut self, node: usize, cleared: &[SuspectKey]) {
+        if node == 0 && !cleared.is_empty() {
+            self.decide(|dispatcher, now, decisions| {
+                dispatcher.clear_suspects(now, cleared, decisions);
+            });
+        }
+    }
+
+    fn crash(&mut self, target: usize) {
+        if std::mem::replace(&mut self.is_down[target], true) {
+            return;
+        }
+        self.crashes.push(self.now);
+        self.schedule(DOWN_TIME, Event::Up(target));
+        let on_target = |request: &&mut Request| request.target == Some(target);
+        let mut lost = Vec::new();
+        for (key, request) in &mut self.requests {
+            if on_target(&request) {
+                request.target = None;
+                lost.push((key.clone(), request.goes_on));
+            }
+        }
+        for (key, goes_on) in lost {
+            if goes_on {
+                self.end(&key, RunEnd::Broken);
+            } else {
+                self.schedule(CHECK_TIME, Event::Checked(key, target as TargetHash, self.now));
+            }
+        }
+    }
+
+    fn record_crash(&mut self, key: &JobKey, target: TargetHash, ended: Instant) {
+        let Some(request) = self.requests.get(key).cloned() else { return };
+        let report =
+            CrashReport { target, started: request.sent, ended, keys: request.keys.clone() };
+        if self.ledgers[request.node].record(self.now, report.clone()) {
+            self.broadcast(request.node, |peer| Event::Report(peer, report.clone()));
+        }
+        self.end(key, RunEnd::Unreachable);
+    }
+
+    fn end(&mut self, key: &JobKey, end: RunEnd) {
+        if self.requests.remove(key).is_some() {
+            self.finish(key, end);
+        }
+    }
+
+    fn finish(&mut self, key: &JobKey, end: RunEnd) {
+        let report = RunReport { end, elapsed: Duration::from_millis(600) };
+        self.decide(|dispatcher, now, decisions| dispatcher.finish(now, key, report, decisions));
+    }
+
+    fn broadcast(&mut self, from: usize, event: impl Fn(usize) -> Event) {
+        for peer in (0..self.day.nodes).filter(|peer| *peer != from) {
+            if self.random() >= self.day.loss {
+                self.schedule(Duration::from_millis(1), event(peer));
+            }
+        }
+    }
+
+    fn send_heartbeat(&mut self, node: usize) {
+        let round = self.next_number as usize;
+        for report in self.ledgers[node].reports(4, round) {
+            self.broadcast(node, |peer| Event::Report(peer, report.clone()));
+        }
+        for entry in self.ledgers[node].quarantined(12, round) {
+            for ledger in &mut self.ledgers {
+                ledger.adopt(self.now, entry);
+            }
+        }
+        self.schedule(HEARTBEAT_PERIOD, Event::Heartbeat(node));
+    }
+}
+
+fn day() -> Day {
+    Day {
+        nodes: 9,
+        targets: 9,
+        requests_per_s: 30.0,
+        deadly_share: 0.05,
+        loss: 0.0,
+        has_restarts: false,
+        own_crashes_per_s: 0.0,
+    }
+}
+
+/// Checks the users' bounds on a day with the deadly part.
+fn expect_contained(day: Day, seed: u64) {
+    let end = Simulation::new(day, seed).run();
+    let share = |counts: Counts| f64::from(counts.begun) / f64::from(counts.offered.max(1));
+    expect_that!(end.late_requests, le(MAX_LATE_REQUESTS), "seed {seed}, {day:?}");
+    if end.sharing.offered >= 20 {
+        expect_that!(
+            share(end.sharing),
+            ge(share(end.others) / 2.0),
+            "seed {seed}, {day:?}: {:?}",
+            end.sharing
+        );
+    }
+    expect_that!(share(end.others), ge(0.9), "seed {seed}, {day:?}: {:?}", end.others);
+}
+
+/// Pattern: one in twenty requests has the deadly part, on few nodes and targets. Guards against targets that crash until the end of
+/// the fault (rule BUDGET), and against sound requests that are refused with the deadly ones (rule LOST).
+#[gtest]
+fn deadly_part_is_contained_on_a_small_deployment() {
+    for seed in 0..40 {
+        expect_contained(day(), seed);
+    }
+}
+
+/// Pattern: a fifth of the requests has the deadly part. Guards against many crashes while nodes learn of the part.
+#[gtest]
+fn deadly_part_in_many_requests_is_contained() {
+    for seed in 0..20 {
+        expect_contained(Day { deadly_share: 0.2, ..day() }, seed);
+    }
+}
+
+/// Pattern: as many nodes, targets and requests as on the grown deployments. Guards against nodes that learn of the part each on
+/// its own.
+#[gtest]
+fn deadly_part_is_contained_on_a_large_deployment() {
+    for seed in 0..4 {
+        let large = Day { nodes: 80, targets: 90, requests_per_s: 250.0, ..day() };
+        expect_contained(large, seed);
+    }
+}
+
+/// Pattern: all nodes are replaced in turn, and a tenth of the messages between them is lost. Guards against knowledge of the part
+/// that goes with the nodes that have it.
+#[gtest]
+fn deadly_part_is_contained_while_nodes_are_replaced() {
+    for seed in 0..20 {
+        expect_contained(Day { has_restarts: true, loss: 0.1, deadly_share: 0.1, ..day() }, seed);
+    }
+}
+
+/// Pattern: targets end by themselves beside those that the part crashes. Guards against sound requests that are blamed for these.
+#[gtest]
+fn deadly_part_is_found_among_targets_that_end_by_themselves() {
+    for seed in 0..20 {
+        let end = Simulation::new(Day { own_crashes_per_s: 0.5, ..day() }, seed).run();
+        let refused = f64::from(end.sharing.quarantined) / f64::from(end.sharing.offered.max(1));
+        expect_that!(refused, le(0.5), "seed {seed}: {:?}", end.sharing);
+        expect_that!(
+            end.others.quarantined,
+            le(end.others.offered / 50),
+            "seed {seed}: {:?}",
+            end.others
+        );
+    }
+}
+
+/// Pattern: a target a second ends by itself and no request is deadly. Guards against requests that are refused because targets
+/// end.
+#[gtest]
+fn crashes_of_targets_alone_refuse_nobody() {
+    for seed in 0..20 {
+        let day = Day { own_crashes_per_s: 1.0, deadly_share: 0.0, targets: 20, ..day() };
+        let end = Simulation::new(day, seed).run();
+        expect_that!((end.sharing.quarantined, end.others.quarantined), eq((0, 0)), "seed {seed}");
+        expect_that!(
+            end.ledgers.iter().map(|ledger| ledger.sizes().1).max(),
+            some(eq(0)),
+            "seed {seed}"
+        );
+    }
+}
--- a/crates/agatecourse-core/tests/dispatcher/decisions.rs
+++ b/crates/agatecourse-core/tests/dispatcher/decisions.rs
@@ -1,9 +1,10 @@
 use crate::simulation::{drafting_kinds, job};
 use agatecourse_core::request::dispatch::{
-    Decision, DispatchTarget, Dispatcher, JobKey, RunEnd, RunReport,
+    Decision, DispatchTarget, Dispatcher, Job, JobKey, RunEnd, RunReport,
 };
 use googletest::prelude::*;
-use std::collections::BTreeSet;
+use smallvec::SmallVec;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 fn key(node: &str, number: u64) -> JobKey {
@@ -143,3 +144,80 @@
         elements_are![eq(&(2, "old".to_string())), eq(&(1, "new".to_string()))]
     );
 }
+
+/// Returns an attempt that may crash its target with the key.
+fn suspect_job(number: u64, suspect: u64, now: Instant) -> Job {
+    let suspects = SmallVec::from_slice(&[suspect]);
+    Job { suspects, ..job(key("n", number), 0, &drafting_kinds()[0], now) }
+}
+
+fn many_targets(now: Instant, count: usize) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new();
+    let targets =
+        (0..count).map(|index| DispatchTarget { slots: 4, ..target(&format!("t-{index}"), "a") });
+    dispatcher.set_targets(now, targets.collect(), &mut Vec::new());
+    dispatcher
+}
+
+/// Guards against several targets that crash at once, because requests with a part that may be deadly run beside each other.
+#[gtest]
+fn attempts_that_share_a_suspect_run_one_after_the_other() {
+    let now = Instant::now();
+    let (mut dispatcher, mut decisions) = (many_targets(now, 3), Vec::new());
+    for number in 1..=3 {
+        dispatcher.submit(now, suspect_job(number, 7, now), &mut decisions);
+    }
+    dispatcher.submit(now, suspect_job(4, 8, now), &mut decisions);
+    dispatcher.submit(now, job(key("n", 5), 0, &drafting_kinds()[0], now), &mut decisions);
+    let numbers = |decisions: &[Decision]| -> Vec<u64> {
+        granted(decisions).iter().map(|(number, _)| *number).collect()
+    };
+    expect_that!(numbers(&decisions), elements_are![eq(&1), eq(&4), eq(&5)]);
+    decisions.clear();
+    let report = RunReport { end: RunEnd::Unreachable, elapsed: Duration::from_millis(100) };
+    dispatcher.finish(now, &key("n", 1), report, &mut decisions);
+    expect_that!(numbers(&decisions), elements_are![eq(&2)]);
+    decisions.clear();
+    dispatcher.clear_suspects(now, &[7], &mut decisions);
+    expect_that!(numbers(&decisions), elements_are![eq(&3)]);
+}
+
+/// Guards against requests that wait for good because a run shows nothing, for example while its target hangs.
+#[gtest]
+fn attempt_waits_for_a_trial_for_a_limited_time() {
+    let now = Instant::now();
+    let (mut dispatcher, mut decisions) = (many_targets(now, 3), Vec::new());
+    dispatcher.submit(now, suspect_job(1, 7, now), &mut decisions);
+    dispatcher.submit(now, suspect_job(2, 7, now), &mut decisions);
+    expect_that!(granted(&decisions), len(eq(1)));
+    dispatcher.on_timer(now + Duration::from_millis(1_500), &mut decisions);
+    expect_that!(granted(&decisions), len(eq(2)));
+}
+
+/// Guards against sound requests that are lost with the target of a request that crashes it: such a request runs where the fewest
+/// others run, and others avoid its target until its answer has begun.
+#[gtest]
+fn suspect_runs_apart_from_other_requests() {
+    let now = Instant::now();
+    let (mut dispatcher, mut decisions) = (many_targets(now, 3), Vec::new());
+    let kind = drafting_kinds()[0];
+    for number in 1..=4 {
+        dispatcher.submit(now, job(key("n", number), 0, &kind, now), &mut decisions);
+    }
+    let loads: BTreeMap<String, usize> =
+        granted(&decisions).into_iter().fold(BTreeMap::new(), |mut loads, (_, target)| {
+            *loads.entry(target).or_default() += 1;
+            loads
+        });
+    decisions.clear();
+    dispatcher.submit(now, suspect_job(10, 7, now), &mut decisions);
+    let trial_target = granted(&decisions)[0].1.clone();
+    let trial_load = loads.get(&trial_target).copied().unwrap_or_default();
+    expect_that!(loads.values().copied().max(), some(gt(trial_load)));
+    decisions.clear();
+    for number in 11..=15 {
+        dispatcher.submit(now, job(key("n", number), 0, &kind, now), &mut decisions);
+    }
+    let targets: Vec<String> = granted(&decisions).into_iter().map(|(_, target)| target).collect();
+    expect_that!(targets, each(not(eq(&trial_target))));
+}
--- a/crates/agatecourse-core/tests/dispatcher/simulation.rs
+++ b/crates/agatecourse-core/tests/dispatcher/simulation.rs
@@ -209,6 +209,7 @@
         is_retry: false,
         version: String::new(),
         avoided_version: String::new(),
+        suspects: SmallVec::new(),
     }
 }
 
--- a/crates/agatecourse-gateway/src/process/coordinator.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator.rs
@@ -1,4 +1,5 @@
 use super::{PeerMessage, WireJob};
+use agatecourse_core::request::SuspectKey;
 use agatecourse_core::request::dispatch::{
     Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber, RunEnd,
     RunReport,
@@ -187,7 +188,9 @@
         actions: &mut Vec<CoordinatorAction>,
     ) {
         let count = self.queue_counts.get(&submission.service).copied().unwrap_or(1);
-        let queue = queue_name(&submission.service, submission.number as usize % count);
+        // Requests that share a suspect meet in one queue, whose owner runs them one after the other.
+        let hash = submission.job.suspects.first().copied().unwrap_or(submission.number);
+        let queue = queue_name(&submission.service, hash as usize % count);
         let owner = self.owner(now, &queue, actions);
         let number = submission.number;
         let waiting = WaitingAttempt {
@@ -219,6 +222,23 @@
         self.send_or_handle(now, owner, PeerMessage::Ended { queue, number, report }, actions);
     }
 
+    /// Removes suspects that were found not to crash targets from the attempts of this node and from the owned queues.
+    pub fn clear_suspects(
+        &mut self,
+        now: Instant,
+        cleared: &[SuspectKey],
+        actions: &mut Vec<CoordinatorAction>,
+    ) {
+        for waiting in self.waiting.values_mut() {
+            waiting.job.suspects.retain(|suspect| !cleared.contains(suspect));
+        }
+        let mut decisions = Vec::new();
+        for dispatcher in self.dispatchers.values_mut() {
+            dispatcher.clear_suspects(now, cleared, &mut decisions);
+        }
+        self.send_decisions(now, decisions, actions);
+    }
+
     /// Handles a message of another node about a queue.
     pub fn on_message(
         &mut self,
@@ -262,7 +282,7 @@
                     actions.push(CoordinatorAction::Place { number, placement });
                 }
             }
-            PeerMessage::Heartbeat(_) => {}
+            PeerMessage::Heartbeat(_) | PeerMessage::Crash(_) | PeerMessage::Cleared { .. } => {}
         }
     }
 
@@ -590,5 +610,6 @@
         is_retry: job.is_retry,
         version: job.version.clone(),
         avoided_version: job.avoided_version.clone(),
+        suspects: job.suspects.clone(),
     }
 }
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -7,8 +7,8 @@
 use crate::connection::{HeaderNames, TargetPool};
 use crate::version::{Deployment, ServiceId, Target};
 use agatecourse_core::process::RetryBudget;
-use agatecourse_core::request::CrashLedger;
 use agatecourse_core::request::dispatch::{DispatchTarget, JobNumber, RunReport};
+use agatecourse_core::request::{CrashLedger, SuspectKey};
 use agatecourse_types::{NodeId, RouteId, TargetId, ZoneId, rendezvous_owner};
 use slog::{Logger, info};
 use snafu::Snafu;
@@ -120,6 +120,10 @@
     phase: Cell<usize>,
     pub(super) recorded_use: RefCell<Option<RecordedUse>>,
     pub(super) crashes: RefCell<CrashLedger>,
+    /// Version of the crashes and quarantined keys; signals requests that wait for a target.
+    pub(super) crash_changes: watch::Sender<u64>,
+    /// Number of times that crash notices were selected; selects others each time.
+    pub(super) crash_notice_round: Cell<usize>,
     pub(crate) rollouts: RefCell<Rollouts>,
     mean_tokens: RefCell<BTreeMap<RouteId, f64>>,
     document_handler: RefCell<Option<DocumentHandler>>,
@@ -181,6 +185,8 @@
             phase: Cell::new(0),
             recorded_use: RefCell::default(),
             crashes: RefCell::default(),
+            crash_changes: watch::Sender::new(0),
+            crash_notice_round: Cell::new(0),
             rollouts: RefCell::default(),
             mean_tokens: RefCell::default(),
             document_handler: RefCell::default(),
@@ -389,6 +395,13 @@
         self.perform_actions(actions);
     }
 
+    /// Removes suspects that were found not to crash targets from the queues.
+    pub(super) fn clear_queued_suspects(&self, now: Instant, cleared: &[SuspectKey]) {
+        let mut actions = Vec::new();
+        self.coordinator.borrow_mut().clear_suspects(now, cleared, &mut actions);
+        self.perform_actions(actions);
+    }
+
     /// Passes the current list of live nodes to the coordinator.
     pub(crate) fn refresh_members(&self, now: Instant) {
         let live = self.members.borrow().live(now);
@@ -470,6 +483,8 @@
             "waiting": waiting,
             "running": running,
             "queues": self.coordinator.borrow().snapshot(),
+            "unexplained_crashes": self.crashes.borrow().sizes().0,
+            "quarantined_keys": self.crashes.borrow().sizes().1,
         })
     }
 
--- a/crates/agatecourse-gateway/src/process/gateway_versions.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_versions.rs
@@ -1,42 +1,12 @@
 use super::{Gateway, RolloutOutcome};
 use crate::version::{ServiceId, Target};
-use agatecourse_core::request::{CrashFingerprint, TargetHash};
 use agatecourse_core::version::RolloutState;
 use agatecourse_types::VersionId;
 use slog::info;
 use std::time::{Duration, Instant};
 
-/// Maximum number of crashes in a heartbeat, so that the message fits a datagram.
-const MAX_HEARTBEAT_CRASHES: usize = 12;
-
-/// Detection of bad versions and of requests that crash targets, from the responses that all nodes have seen.
+/// Detection of bad versions from the responses that all nodes have seen.
 impl Gateway {
-    /// Returns the number of targets that a request has crashed, and whether the request is quarantined.
-    pub(crate) fn crashes(&self, now: Instant, fingerprint: CrashFingerprint) -> (usize, bool) {
-        let crashes = self.crashes.borrow();
-        (crashes.count(now, fingerprint), crashes.is_quarantined(now, fingerprint))
-    }
-
-    /// Records that a target crashed while it ran a request.
-    pub(crate) fn record_crash(
-        &self,
-        now: Instant,
-        fingerprint: CrashFingerprint,
-        target: TargetHash,
-        source: &str,
-    ) {
-        if self.crashes.borrow_mut().record(now, fingerprint, target) {
-            let (count, is_refused) = self.crashes(now, fingerprint);
-            info!(self.log, "target crashed with a request"; "fingerprint" => fingerprint, "target_hash" => target,
-                "source" => source, "crashes" => count, "quarantined" => is_refused);
-        }
-    }
-
-    /// Returns the most recent crashes, for heartbeats.
-    pub(crate) fn newest_crashes(&self) -> Vec<(CrashFingerprint, TargetHash)> {
-        self.crashes.borrow().newest(MAX_HEARTBEAT_CRASHES)
-    }
-
     /// Starts the rollout of a new version of a service, unless it or a newer one is known.
     pub fn begin_rollout(&self, service: &ServiceId, to: &VersionId, order: u64, time: Duration) {
         if self.rollouts.borrow_mut().begin(Instant::now(), service, to, order, time) {
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) source_calls: IntCounterVec,
     pub(crate) peer_messages: IntCounterVec,
     pub(crate) owner_changes: IntCounter,
+    pub(crate) quarantined_keys: IntGauge,
 }
 
 impl Metrics {
@@ -84,6 +85,11 @@
                 "queue_owner_changes_total",
                 "Changes of the owner of a queue",
             )?,
+            quarantined_keys: gauge(
+                &registry,
+                "quarantined_keys",
+                "Prompt parts and requests that are refused because they crash targets",
+            )?,
             registry,
         })
     }
--- a/crates/agatecourse-gateway/src/process/mod.rs
+++ b/crates/agatecourse-gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod coordinator;
 mod documents;
 mod gateway;
+mod gateway_crashes;
 mod gateway_quota;
 mod gateway_versions;
 mod logger;
@@ -23,7 +24,8 @@
 pub use members::Members;
 pub(crate) use metrics::Metrics;
 pub use peer_message::{
-    Heartbeat, OrganisationUse, PeerMessage, QuotaReport, RolloutReport, WireJob,
+    CrashNotice, Heartbeat, OrganisationUse, PeerMessage, QuarantineNotice, QuotaReport,
+    RolloutReport, WireJob,
 };
 pub use peers::PeerEndpoint;
 pub use rollouts::{RolloutOutcome, Rollouts};
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -1,6 +1,6 @@
 use super::DocumentId;
 use agatecourse_core::request::dispatch::{JobNumber, RunReport};
-use agatecourse_core::request::{CrashFingerprint, TargetHash};
+use agatecourse_core::request::{SuspectKey, SuspectKeys, TargetHash};
 use agatecourse_core::version::{RolloutCounts, RolloutState};
 use agatecourse_types::{NodeId, TargetId, VersionId, ZoneId};
 use serde::{Deserialize, Serialize};
@@ -27,8 +27,8 @@
     pub documents: SmallVec<[(DocumentId, u64); 2]>,
     /// Use of organisations in the quota window.
     pub usage: Vec<OrganisationUse>,
-    /// Requests, by fingerprint, with the targets, by hash, that crashed while running them.
-    pub crashes: Vec<(CrashFingerprint, TargetHash)>,
+    /// Suspects with the targets that crashed with them, for nodes of earlier versions, which do not read `crash_notices`.
+    pub crashes: Vec<(SuspectKey, TargetHash)>,
     /// Reports of the sender on the rollouts that it knows.
     pub rollouts: SmallVec<[RolloutReport; 1]>,
     // Nodes of earlier versions end a heartbeat here; they ignore what follows, and theirs decode with empty values.
@@ -39,6 +39,10 @@
     /// True if an organisation missing from `usage` has used nothing, as far as the sender knows; false if the sender does
     /// not know the organisations yet.
     pub is_usage_complete: bool,
+    /// Some of the unexplained crashes of targets that the sender knows.
+    pub crash_notices: Vec<CrashNotice>,
+    /// Some of the quarantined keys that the sender knows.
+    pub quarantine_notices: Vec<QuarantineNotice>,
 }
 
 /// Use of an organisation in the quota window, as known to a node.
@@ -76,6 +80,30 @@
     pub state: RolloutState,
 }
 
+/// A crash of a target, with ages in place of times because the clocks of nodes differ.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNotice {
+    /// Target that crashed.
+    pub target: TargetHash,
+    /// Time since the request was sent to the target, in milliseconds.
+    pub started_age_ms: u64,
+    /// Time since the target crashed, in milliseconds.
+    pub ended_age_ms: u64,
+    /// Keys of requests on the target whose answer had not begun.
+    pub keys: SuspectKeys,
+}
+
+/// A key whose requests are refused, because targets crashed on them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNotice {
+    /// The key.
+    pub key: SuspectKey,
+    /// Number of crashes that are attributed to the key.
+    pub crashes: u32,
+    /// Time since the last of them in milliseconds.
+    pub age_ms: u64,
+}
+
 /// An attempt as submitted to the owner of its queue; times are relative because the clocks of nodes differ.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WireJob {
@@ -105,13 +133,16 @@
     pub version: VersionId,
     /// Version that the target must not run; empty for none.
     pub avoided_version: VersionId,
+    // Nodes of earlier versions end a job here.
+    /// Keys of the request that may have crashed targets.
+    pub suspects: SmallVec<[SuspectKey; 2]>,
 }
 
 /// A message between nodes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Periodic state of the sender.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Submits an attempt to the owner of the queue.
     Submit {
         /// Queue of a service.
@@ -160,6 +191,13 @@
         /// Numbers of the running attempts with their targets.
         running: Vec<(JobNumber, TargetId)>,
     },
+    /// A target crashed with a request of the sender on it.
+    Crash(CrashNotice),
+    /// Answers to requests with these keys have begun since targets crashed with them.
+    Cleared {
+        /// Keys that are no longer suspects.
+        keys: SuspectKeys,
+    },
 }
 
 /// Datagram between nodes: a message with the name of its sender.
--- a/crates/agatecourse-gateway/src/process/peer_message/tests.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message/tests.rs
@@ -10,7 +10,7 @@
     members: Vec<(NodeId, Ipv4Addr)>,
     documents: SmallVec<[(DocumentId, u64); 2]>,
     usage: Vec<OrganisationUse>,
-    crashes: Vec<(CrashFingerprint, TargetHash)>,
+    crashes: Vec<(SuspectKey, TargetHash)>,
     rollouts: SmallVec<[RolloutReport; 1]>,
 }
 
@@ -54,6 +54,8 @@
     expect_that!(heartbeat.quota_bounds_version, eq(0));
     expect_that!(heartbeat.quota_reports, is_empty());
     expect_that!(heartbeat.is_usage_complete, eq(false));
+    expect_that!(heartbeat.crash_notices, is_empty());
+    expect_that!(heartbeat.quarantine_notices, is_empty());
 }
 
 /// Guards against heartbeats of this version that nodes of earlier ones reject.
@@ -61,14 +63,21 @@
 fn earlier_nodes_decode_heartbeats() {
     let envelope = PeerEnvelope {
         from: "n1".to_string(),
-        message: PeerMessage::Heartbeat(Heartbeat {
+        message: PeerMessage::Heartbeat(Box::new(Heartbeat {
             started_unix_ms: 9,
             usage: usage(),
             quota_bounds_version: 5,
             quota_reports: vec![QuotaReport { sent_total: 1, stored_bound: 2, enforced_bound: 3 }],
             is_usage_complete: true,
+            crash_notices: vec![CrashNotice {
+                target: 1,
+                started_age_ms: 300,
+                ended_age_ms: 30,
+                keys: SuspectKeys::from_slice(&[u64::MAX, 2]),
+            }],
+            quarantine_notices: vec![QuarantineNotice { key: u64::MAX, crashes: 3, age_ms: 9 }],
             ..Heartbeat::default()
-        }),
+        })),
     };
     let bytes = postcard::to_allocvec(&envelope).expect("it can be encoded");
     let earlier: EarlierEnvelope = postcard::from_bytes(&bytes).expect("it decodes");
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -85,6 +85,10 @@
             PeerMessage::Heartbeat(heartbeat) => {
                 on_heartbeat(&gateway, now, &envelope.from, ip, &heartbeat);
             }
+            PeerMessage::Crash(notice) => gateway.record_peer_crash(now, &envelope.from, &notice),
+            PeerMessage::Cleared { keys } => {
+                gateway.record_peer_cleared(now, &envelope.from, &keys);
+            }
             message => gateway.on_queue_message(now, &envelope.from, message),
         }
     }
@@ -110,9 +114,7 @@
         gateway.record_restart(now, from);
         gateway.refresh_members(now);
     }
-    for (fingerprint, target) in &heartbeat.crashes {
-        gateway.record_crash(now, *fingerprint, *target, from);
-    }
+    gateway.record_peer_crashes(now, from, heartbeat);
     for report in &heartbeat.rollouts {
         gateway.rollouts.borrow_mut().record_peer(from, report);
     }
@@ -168,6 +170,7 @@
     }
     named.push((gateway.settings.node.clone(), gateway.settings.ip));
     let (usage, quota_reports) = gateway.known_usage(now);
+    let (crash_notices, quarantine_notices) = gateway.heartbeat_crash_notices(now);
     let heartbeat = Heartbeat {
         started_unix_ms: gateway.settings.started_unix_ms,
         uptime_ms: gateway.uptime(now).as_millis() as u32,
@@ -175,22 +178,28 @@
         members: named,
         documents: gateway.documents.borrow().versions().collect(),
         usage,
-        crashes: gateway.newest_crashes(),
+        crashes: crash_notices
+            .iter()
+            .filter_map(|notice| notice.keys.first().map(|key| (*key, notice.target)))
+            .collect(),
         rollouts: gateway.rollouts.borrow().reports().collect(),
         quota_bounds_version: gateway.quota_bounds_version(),
         quota_reports,
         is_usage_complete: gateway.deployment().is_some(),
+        crash_notices,
+        quarantine_notices,
     };
+    broadcast(gateway, &PeerMessage::Heartbeat(Box::new(heartbeat)));
+}
+
+/// Sends a message to all known nodes.
+pub(super) fn broadcast(gateway: &Gateway, message: &PeerMessage) {
     let mut addresses: Vec<Ipv4Addr> =
         gateway.members.borrow().addresses().map(|(_, address)| address).collect();
     addresses.sort_unstable();
     addresses.dedup();
     for address in addresses.into_iter().filter(|address| *address != gateway.settings.ip) {
-        gateway.peers.send(
-            &gateway.settings.node,
-            address,
-            PeerMessage::Heartbeat(heartbeat.clone()),
-        );
+        gateway.peers.send(&gateway.settings.node, address, message.clone());
         gateway.metrics.peer_messages.with_label_values(&["sent"]).inc();
     }
 }
--- a/crates/agatecourse-gateway/src/request/admission.rs
+++ b/crates/agatecourse-gateway/src/request/admission.rs
@@ -1,15 +1,14 @@
 use super::quota_reservation::QuotaReservation;
-use super::suspect_keys::{SuspectKeys, suspect_keys};
+use super::suspect_keys::suspect_keys;
 use super::workload::Workload;
 use super::{CallerRequest, Reply};
 use crate::process::Gateway;
 use crate::version::{Deployment, Route, ServiceId};
+use agatecourse_core::request::{CrashVerdict, SuspectKeys};
 use agatecourse_types::{OrganisationId, ResultCode, stable_hash};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// `Retry-After` of a quarantined request; its crash records have expired by then.
-const QUARANTINE_RETRY: Duration = Duration::from_mins(1);
 /// `Retry-After` while the node has not loaded a configuration.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// `Retry-After` when an organisation's quota is exhausted; a quarter of the users' quota window of 8 s.
@@ -69,10 +68,9 @@
         return Err(Reply::error(ResultCode::UnknownRoute, reason).into());
     };
     let suspect_keys = suspect_keys(request, &gateway.header_names);
-    let (crashes, is_quarantined) = gateway.crashes(now, suspect_keys[0]);
-    if is_quarantined {
-        let reason = format!("the request has crashed {crashes} targets");
-        return Err(Reply::refusal(ResultCode::Quarantined, QUARANTINE_RETRY, reason).into());
+    let verdict = gateway.crash_verdict(now, &suspect_keys);
+    if let Some((retry_after, reason)) = quarantine_reason(&verdict) {
+        return Err(Reply::refusal(ResultCode::Quarantined, retry_after, reason).into());
     }
     let workload = Workload::from_request(request, &gateway.header_names);
     let organisation = find_organisation(gateway, &deployment, &route, request)?;
@@ -119,6 +117,12 @@
     Ok(admitted)
 }
 
+/// Returns the `Retry-After` and the reason of the refusal of a quarantined request; `None` for another one.
+pub(crate) fn quarantine_reason(verdict: &CrashVerdict) -> Option<(Duration, String)> {
+    let CrashVerdict::Quarantined { key, crashes, retry_after } = verdict else { return None };
+    Some((*retry_after, format!("{crashes} targets have crashed with key {key:x} of the request")))
+}
+
 /// Returns the organisation of the request's API key. Without a known key, returns `None` on a public route, else a refusal.
 fn find_organisation(
     gateway: &Gateway,
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod attempt_guard;
 mod caller_request;
+mod crash_check;
 mod event_splitter;
 mod outbound;
 mod process_request;
--- a/crates/agatecourse-gateway/src/request/process_request.rs
+++ b/crates/agatecourse-gateway/src/request/process_request.rs
@@ -1,6 +1,7 @@
-use super::admission::{AdmissionError, AdmittedRequest, admit};
+use super::admission::{AdmissionError, AdmittedRequest, admit, quarantine_reason};
 use super::attempt::{AttemptEnd, attempt, return_to_pool};
 use super::attempt_guard::AttemptGuard;
+use super::crash_check::check_for_crash;
 use super::outbound::outbound_request;
 use super::quota_reservation::QuotaReservation;
 use super::relay::{Relay, RelayEnd};
@@ -9,6 +10,7 @@
 use crate::process::{Gateway, Placement, WireJob};
 use crate::version::Target;
 use agatecourse_core::request::dispatch::RunEnd;
+use agatecourse_core::request::{CrashReport, CrashVerdict};
 use agatecourse_types::{ResultCode, TargetId, stable_hash};
 use slog::{info, warn};
 use smallvec::SmallVec;
@@ -16,6 +18,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::oneshot;
 
 /// `Retry-After` when a request could not be placed for a reason other than load.
 const PLACEMENT_RETRY: Duration = Duration::from_millis(300);
@@ -23,8 +26,8 @@
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 /// Time reserved before the deadline to write the refusal before the caller times out.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
-/// Delay between a lost answer and the connection check; a crashed target no longer listens by then.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
+/// Longest wait of a request for the check whether its target has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest wait of a request for a higher quota bound; several calls to the store.
 const QUOTA_BOUND_WAIT: Duration = Duration::from_millis(100);
 /// Timeout of an attempt of a repeatable request that may be retried, in multiples of the route's latency objective.
@@ -50,6 +53,8 @@
     last_target: TargetId,
     /// Time from the arrival to the first grant of a target.
     granted_after: Option<Duration>,
+    /// Time at which the latest attempt was sent.
+    sent_at: Instant,
 }
 
 /// Reason why a request ends before its response is complete.
@@ -99,6 +104,7 @@
         is_sending: false,
         last_target: TargetId::new(),
         granted_after: None,
+        sent_at: request.arrived,
     };
     let until = tokio::time::Instant::from_std(
         state.deadline.checked_sub(RESPONSE_MARGIN).unwrap_or(state.deadline),
@@ -143,9 +149,23 @@
         may_have_run: &Cell<bool>,
     ) -> Reply {
         loop {
-            let (number, placement) = self.submit();
+            let verdict = self.gateway.crash_verdict(Instant::now(), &self.admitted.suspect_keys);
+            if let Some(reply) = self.quarantine_reply(&verdict) {
+                return reply;
+            }
+            let (number, placement) = self.submit(&verdict);
             let mut guard = AttemptGuard::new(self.gateway, number);
-            let Ok(placement) = placement.await else {
+            let placement = tokio::select! {
+                biased;
+                verdict = self.gateway.wait_for_quarantine(&self.admitted.suspect_keys) => {
+                    if let Some(reply) = self.quarantine_reply(&verdict) {
+                        return reply;
+                    }
+                    continue;
+                }
+                placement = placement => placement,
+            };
+            let Ok(placement) = placement else {
                 return self.not_placed_reply(
                     ResultCode::NoTarget,
                     PLACEMENT_RETRY,
@@ -194,8 +214,12 @@
     }
 
     /// Submits an attempt to the queue of the service; returns its number and the receiver of the placement.
-    fn submit(&self) -> (u64, tokio::sync::oneshot::Receiver<Placement>) {
+    fn submit(&self, verdict: &CrashVerdict) -> (u64, oneshot::Receiver<Placement>) {
         let now = Instant::now();
+        let suspects = match verdict {
+            CrashVerdict::Suspect(suspects) => suspects.clone(),
+            CrashVerdict::Clear | CrashVerdict::Quarantined { .. } => SmallVec::new(),
+        };
         let admitted = &self.admitted;
         let millis = |duration: Duration| duration.as_millis() as u32;
         let timeout = self.deadline.saturating_duration_since(self.request.arrived);
@@ -217,6 +241,7 @@
             is_retry: self.sent_attempts > 0,
             version,
             avoided_version,
+            suspects,
         };
         self.gateway.submit(now, &admitted.service, self.request.arrived, job)
     }
@@ -241,6 +266,12 @@
         }
     }
 
+    /// Returns the reply to a quarantined request; `None` for another one.
+    fn quarantine_reply(&self, verdict: &CrashVerdict) -> Option<Reply> {
+        let (retry_after, reason) = quarantine_reason(verdict)?;
+        Some(self.not_placed_reply(ResultCode::Quarantined, retry_after, &reason))
+    }
+
     /// Returns the reply to a request that got no target; the outcome is unknown if an earlier attempt was sent.
     fn not_placed_reply(&self, code: ResultCode, retry_after: Duration, reason: &str) -> Reply {
         if self.relay.has_started() {
@@ -291,6 +322,7 @@
         };
         let mut sent = false;
         let started = Instant::now();
+        self.sent_at = started;
         self.is_sending = true;
         may_have_run.set(true);
         if let Some(quota) = &mut self.admitted.quota {
@@ -333,6 +365,7 @@
         match end {
             AttemptEnd::Complete { head, body } => {
                 let is_failure = head.status >= 500;
+                self.gateway.record_sound(Instant::now(), &self.admitted.suspect_keys);
                 guard.end(if is_failure { RunEnd::Failed } else { RunEnd::Answered });
                 if is_failure && kind.is_repeatable() && self.try_take_retry() {
                     return NextStep::Retry;
@@ -382,8 +415,7 @@
                 ))
             }
             AttemptEnd::Lost { reason } => {
-                guard.end(RunEnd::Broken);
-                self.spawn_crash_check(target, false);
+                guard.end(self.find_lost_run_end(target).await);
                 if kind.is_repeatable() && self.try_take_retry() {
                     return NextStep::Retry;
                 }
@@ -406,10 +438,26 @@
         mut connection: TargetConnection,
     ) -> NextStep {
         let gateway = self.gateway;
-        let end = self
+        let keys = &self.admitted.suspect_keys;
+        let mut end = self
             .relay
-            .forward_stream(head, &mut connection, caller, &gateway.header_names, self.closes)
+            .forward_stream(
+                head,
+                &mut connection,
+                caller,
+                &gateway.header_names,
+                self.closes,
+                || gateway.record_sound(Instant::now(), keys),
+            )
             .await;
+        if matches!(end, RelayEnd::Complete) {
+            end = if self.relay.finish(caller).await.is_err() {
+                RelayEnd::CallerDisconnected
+            } else {
+                gateway.record_sound(Instant::now(), keys);
+                RelayEnd::Complete
+            };
+        }
         if let Some(first) = self.relay.first_event {
             let elapsed = first.saturating_duration_since(self.request.arrived);
             gateway.metrics.first_byte_seconds.observe(elapsed.as_secs_f64());
@@ -425,11 +473,14 @@
             }),
             RelayEnd::TargetFailed { reason } => {
                 drop(connection);
-                self.spawn_crash_check(target, self.relay.has_started());
                 gateway.pool.borrow_mut().remove_target(&target.id);
-                guard.end(RunEnd::Broken);
                 warn!(gateway.log, "stream broke"; "request" => self.request.id(&gateway.header_names),
-                    "target" => &target.id, "reason" => &reason, "last_event" => self.relay.last_event_id());
+                    "target" => &target.id, "reason" => &reason, "last_event" => self.relay.last_event_id(), "answer_went_on" => self.relay.answer_goes_on());
+                guard.end(if self.relay.answer_goes_on() {
+                    RunEnd::Broken
+                } else {
+                    self.find_lost_run_end(target).await
+                });
                 if self.admitted.route.kind.is_repeatable() && self.try_take_retry() {
                     return NextStep::Retry;
                 }
@@ -482,21 +533,28 @@
             "targets_age_ms" => gateway.targets_age(Instant::now()).as_millis() as u64);
     }
 
-    /// Checks with a new connection whether a target whose answer was lost has crashed, and records the crash.
-    fn spawn_crash_check(&self, target: &Rc<Target>, has_begun: bool) {
-        let (gateway, target) = (Rc::clone(self.gateway), Rc::clone(target));
-        let keys = self.admitted.suspect_keys.clone();
-        let request = self.request.id(&gateway.header_names).unwrap_or_default().to_string();
-        actix_rt::spawn(async move {
-            tokio::time::sleep(CRASH_CHECK_DELAY).await;
-            if let Err(error) = TargetConnection::connect(target.address).await {
-                let hash = stable_hash(&[target.id.as_bytes()]) as u32;
-                warn!(gateway.log, "target unreachable after a lost response"; "target" => &target.id,
-                    "request" => request, "answer_begun" => has_begun, "suspect_keys" => format!("{keys:x?}"),
-                    "error" => error.to_string());
-                gateway.record_crash(Instant::now(), keys[0], hash, "own");
-            }
-        });
+    /// Finds out whether the target of a lost run has crashed; if so, records the crash, so that later attempts know of it.
+    ///
+    /// The check goes on when the caller disconnects meanwhile. Requests without prompt parts do not wait for it, as their
+    /// objectives are shorter than the check.
+    async fn find_lost_run_end(&self, target: &Rc<Target>) -> RunEnd {
+        let report = CrashReport {
+            target: stable_hash(&[target.address.to_string().as_bytes()]) as u32,
+            started: self.sent_at,
+            ended: Instant::now(),
+            keys: self.admitted.suspect_keys.clone(),
+        };
+        let has_parts = report.keys.len() > 1;
+        let request = self.request.id(&self.gateway.header_names).unwrap_or_default().to_string();
+        let check = check_for_crash(Rc::clone(self.gateway), Rc::clone(target), request, report);
+        let check = actix_rt::spawn(check);
+        if !has_parts {
+            return RunEnd::Broken;
+        }
+        match tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await {
+            Ok(Ok(true)) => RunEnd::Unreachable,
+            _ => RunEnd::Broken,
+        }
     }
 }
 
--- a/crates/agatecourse-gateway/src/request/relay.rs
+++ b/crates/agatecourse-gateway/src/request/relay.rs
@@ -12,14 +12,16 @@
     splitter: EventSplitter,
     /// Time at which the first event was sent to the caller.
     pub(crate) first_event: Option<Instant>,
+    /// True once the present target has sent events more than once, so that its answer goes on after it has begun.
+    answer_goes_on: bool,
 }
 
 /// How the stream from one target ended.
 #[derive(Debug)]
 pub(crate) enum RelayEnd {
-    /// The target completed the stream.
+    /// The target completed the stream; the caller was not told yet.
     Complete,
-    /// The connection to the target broke, or the stream ended inside an event.
+    /// The connection to the target broke, or the stream ended inside or before an event.
     TargetFailed { reason: String },
     /// Writing to the caller failed.
     CallerDisconnected,
@@ -28,7 +30,12 @@
 impl Relay {
     /// Creates a relay at the start of a stream.
     pub(crate) fn new() -> Self {
-        Self { head: None, splitter: EventSplitter::new(), first_event: None }
+        Self {
+            head: None,
+            splitter: EventSplitter::new(),
+            first_event: None,
+            answer_goes_on: false,
+        }
     }
 
     /// Returns whether the head was sent to the caller.
@@ -36,12 +43,18 @@
         self.first_event.is_some()
     }
 
+    /// Returns whether the answer of the present target went on after its first events.
+    pub(crate) fn answer_goes_on(&self) -> bool {
+        self.answer_goes_on
+    }
+
     /// Returns the id of the last complete event, after which another target may resume.
     pub(crate) fn last_event_id(&self) -> Option<&str> {
         self.splitter.last_id()
     }
 
-    /// Forwards events as they arrive; the response head is sent with the first event.
+    /// Forwards events as they arrive; the response head is sent with the first event. Calls `on_progress` once when the answer
+    /// goes on after its first events.
     pub(crate) async fn forward_stream(
         &mut self,
         head: &ResponseHead,
@@ -49,7 +62,10 @@
         caller: &mut OwnedWriteHalf,
         header_names: &HeaderNames,
         closes: bool,
+        on_progress: impl Fn(),
     ) -> RelayEnd {
+        self.answer_goes_on = false;
+        let mut has_events = false;
         if !self.has_started() {
             self.head = Some(serialize_stream_head(head, header_names, closes));
         }
@@ -69,7 +85,15 @@
                     return RelayEnd::TargetFailed { reason: error.to_string() };
                 }
             };
-            if !events.is_empty() && self.write_events(caller, &events).await.is_err() {
+            if events.is_empty() {
+                continue;
+            }
+            if has_events && !self.answer_goes_on {
+                self.answer_goes_on = true;
+                on_progress();
+            }
+            has_events = true;
+            if self.write_events(caller, &events).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
         }
@@ -77,14 +101,15 @@
             self.splitter.drop_partial_event();
             return RelayEnd::TargetFailed { reason: "stream ended inside an event".to_string() };
         }
-        if !self.has_started() && self.write_events(caller, &[]).await.is_err() {
-            return RelayEnd::CallerDisconnected;
-        }
-        if caller.write_all(b"0\r\n\r\n").await.is_err() {
-            RelayEnd::CallerDisconnected
-        } else {
-            RelayEnd::Complete
+        RelayEnd::Complete
+    }
+
+    /// Tells the caller that the stream is complete.
+    pub(crate) async fn finish(&mut self, caller: &mut OwnedWriteHalf) -> std::io::Result<()> {
+        if !self.has_started() {
+            self.write_events(caller, &[]).await?;
         }
+        caller.write_all(b"0\r\n\r\n").await
     }
 
     /// Writes complete events as one chunk, after the response head if it has not been sent yet.
--- a/crates/agatecourse-gateway/src/request/suspect_keys.rs
+++ b/crates/agatecourse-gateway/src/request/suspect_keys.rs
@@ -1,15 +1,11 @@
 use super::CallerRequest;
 use crate::connection::HeaderNames;
-use agatecourse_core::request::CrashFingerprint;
+use agatecourse_core::request::SuspectKeys;
 use agatecourse_types::stable_hash;
-use smallvec::SmallVec;
 
 /// Upper bound of the keys of a request, so that a report of its crash fits a datagram.
 const MAX_KEYS: usize = 64;
 
-/// Keys of one request; most prompts have a few parts.
-pub(crate) type SuspectKeys = SmallVec<[CrashFingerprint; 6]>;
-
 /// Returns the keys of a request: a hash of path, caller credentials and body, which repeats of the request share, and one of
 /// each part of the prompt but the last, which belongs to the request itself.
 pub(crate) fn suspect_keys(request: &CallerRequest, header_names: &HeaderNames) -> SuspectKeys {
--- a/crates/agatecourse-gateway/tests/coordinator.rs
+++ b/crates/agatecourse-gateway/tests/coordinator.rs
@@ -2,7 +2,7 @@
 
 use agatecourse_core::request::dispatch::{DispatchTarget, RunEnd, RunReport};
 use agatecourse_gateway::process::{
-    Coordinator, CoordinatorAction, Heartbeat, PeerMessage, Placement, Submission, WireJob,
+    Coordinator, CoordinatorAction, PeerMessage, Placement, Submission, WireJob,
 };
 use googletest::prelude::*;
 use smallvec::SmallVec;
@@ -89,9 +89,12 @@
     }
 
     fn submit(&mut self, name: &str, number: u64) {
+        self.submit_job(name, number, wire_job());
+    }
+
+    fn submit_job(&mut self, name: &str, number: u64, job: WireJob) {
         let arrived = self.now;
-        let submission =
-            Submission { number, service: "drafts".to_string(), arrived, job: wire_job() };
+        let submission = Submission { number, service: "drafts".to_string(), arrived, job };
         self.call(name, |node, now, actions| node.submit(now, submission, actions));
     }
 
@@ -156,6 +159,7 @@
         is_retry: false,
         version: String::new(),
         avoided_version: String::new(),
+        suspects: SmallVec::new(),
     }
 }
 
@@ -295,8 +299,33 @@
     node.on_message(
         Instant::now(),
         &"other".to_string(),
-        PeerMessage::Heartbeat(Heartbeat::default()),
+        PeerMessage::Heartbeat(Box::default()),
         &mut actions,
     );
     expect_that!(actions, is_empty());
 }
+
+/// Guards against targets that crash in each queue of a large service at once: attempts of all nodes that share a suspect wait for one
+/// trial, until the suspect is cleared.
+#[gtest]
+fn attempts_that_share_a_suspect_meet_in_one_queue() {
+    let mut cluster = Cluster::new(5, 100);
+    let suspect = WireJob { suspects: SmallVec::from_slice(&[7]), ..wire_job() };
+    for index in 0..5 {
+        cluster.submit_job(&format!("node-{index}"), 40 + index, suspect.clone());
+    }
+    cluster.advance(Duration::from_millis(50));
+    let granted = |cluster: &Cluster| {
+        (0..5)
+            .filter(|index| cluster.granted_target(&format!("node-{index}"), 40 + index).is_some())
+            .count()
+    };
+    expect_that!(granted(&cluster), eq(1));
+    for index in 0..5 {
+        cluster.call(&format!("node-{index}"), |node, now, actions| {
+            node.clear_suspects(now, &[7], actions);
+        });
+    }
+    cluster.advance(Duration::from_millis(50));
+    expect_that!(granted(&cluster), eq(5));
+}
