fix(gateway): do not complete streams that their target broke off without a length

What callers see: a stream without a length or chunks that ends with its connection was passed on as complete when its target ended between two events or before the first one.

Cause: the end of the connection was taken for the end of the body, whatever ended it.

Change: such a stream without an event is broken off. After one with events the node opens the connection for the next request to this target; if the target refuses it, the stream is broken off, and resumed where the route allows that. A target that is leaving is not asked.

Ruled out: a stream that ends inside an event; it was broken off before.

--- a/crates/agatecourse-gateway/src/connection/mod.rs
+++ b/crates/agatecourse-gateway/src/connection/mod.rs
@@ -16,7 +16,9 @@
 };
 pub use header_names::HeaderNames;
 pub use simple_client::{CallError, SimpleClient};
-pub(crate) use target_connection::{ResponseError, TargetConnection, set_socket_options};
+pub(crate) use target_connection::{
+    ConnectError, ResponseError, TargetConnection, set_socket_options,
+};
 pub(crate) use target_pool::TargetPool;
 
 // Public because fuzzing and property tests decode bodies without a socket.
--- a/crates/agatecourse-gateway/src/request/crash_check.rs
+++ b/crates/agatecourse-gateway/src/request/crash_check.rs
@@ -1,4 +1,4 @@
-use crate::connection::TargetConnection;
+use crate::connection::{ConnectError, TargetConnection};
 use crate::process::Gateway;
 use crate::version::Target;
 use agatecourse_core::request::CrashReport;
@@ -30,3 +30,19 @@
         }
     }
 }
+
+/// Returns whether a target that ended a body with the connection has ended itself, so that the body may not be complete. A
+/// target that is leaving may end after its last answer. The new connection serves the next request.
+pub(crate) async fn has_ended(gateway: &Gateway, target: &Target) -> bool {
+    if gateway.target(&target.id).is_none() {
+        return false;
+    }
+    match TargetConnection::connect(target.address).await {
+        Ok(connection) => {
+            gateway.pool.borrow_mut().put(&target.id, connection, None, Instant::now());
+            false
+        }
+        Err(ConnectError::Failed { .. }) => true,
+        Err(ConnectError::Timeout) => false,
+    }
+}
--- a/crates/agatecourse-gateway/src/request/process_request.rs
+++ b/crates/agatecourse-gateway/src/request/process_request.rs
@@ -1,12 +1,12 @@
 use super::admission::{AdmissionError, AdmittedRequest, admit, quarantine_reason};
 use super::attempt::{AttemptEnd, attempt, return_to_pool};
 use super::attempt_guard::AttemptGuard;
-use super::crash_check::check_for_crash;
+use super::crash_check::{check_for_crash, has_ended};
 use super::outbound::outbound_request;
 use super::quota_reservation::QuotaReservation;
 use super::relay::{Relay, RelayEnd};
 use super::{CallerRequest, Reply};
-use crate::connection::{ResponseHead, TargetConnection};
+use crate::connection::{BodyFraming, ResponseHead, TargetConnection};
 use crate::process::{Gateway, Placement, WireJob};
 use crate::version::Target;
 use agatecourse_core::request::dispatch::RunEnd;
@@ -451,7 +451,9 @@
             )
             .await;
         if matches!(end, RelayEnd::Complete) {
-            end = if self.relay.finish(caller).await.is_err() {
+            end = if head.framing == BodyFraming::UntilClose && has_ended(gateway, target).await {
+                RelayEnd::TargetFailed { reason: "target ended with the connection".to_string() }
+            } else if self.relay.finish(caller).await.is_err() {
                 RelayEnd::CallerDisconnected
             } else {
                 gateway.record_sound(Instant::now(), keys);
--- a/crates/agatecourse-gateway/src/request/relay.rs
+++ b/crates/agatecourse-gateway/src/request/relay.rs
@@ -1,5 +1,5 @@
 use super::event_splitter::EventSplitter;
-use crate::connection::{BodyReader, HeaderNames, ResponseHead, TargetConnection};
+use crate::connection::{BodyFraming, BodyReader, HeaderNames, ResponseHead, TargetConnection};
 use std::time::Instant;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -101,6 +101,10 @@
             self.splitter.drop_partial_event();
             return RelayEnd::TargetFailed { reason: "stream ended inside an event".to_string() };
         }
+        // The end of the connection ends such a body, also when the target ends before it has written anything.
+        if !has_events && head.framing == BodyFraming::UntilClose {
+            return RelayEnd::TargetFailed { reason: "stream ended before an event".to_string() };
+        }
         RelayEnd::Complete
     }
 
