feat(core,gateway): log the request limits that targets name

The logs did not show when a target names a request limit, which node knows of it, and when it is lifted. Each node now records the limits in the responses that it reads and logs changes.

--- a/crates/agatecourse-core/src/request/dispatch/mod.rs
+++ b/crates/agatecourse-core/src/request/dispatch/mod.rs
@@ -9,9 +9,11 @@
 mod job;
 mod run_report;
 mod service_profile;
+mod target_limits;
 mod target_view;
 
 pub use dispatcher::{Dispatcher, DispatcherSnapshot};
 pub use job::{Decision, Job, JobKey, JobNumber};
 pub use run_report::{RunEnd, RunReport};
+pub use target_limits::{NamedLimit, TargetLimits};
 pub use target_view::DispatchTarget;
--- a/crates/agatecourse-gateway/src/process/coordinator.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator.rs
@@ -2,7 +2,7 @@
 use agatecourse_core::request::SuspectKey;
 use agatecourse_core::request::dispatch::{
     Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber, RunEnd,
-    RunReport,
+    RunReport, TargetLimits,
 };
 use agatecourse_types::{NodeId, TargetId, rank_by_rendezvous, stable_hash};
 use std::collections::{BTreeMap, BTreeSet};
@@ -124,6 +124,7 @@
     running: BTreeMap<JobNumber, RunningAttempt>,
     last_status: BTreeMap<String, (NodeId, Instant)>,
     owners: BTreeMap<String, NodeId>,
+    limits: TargetLimits,
 }
 
 impl Coordinator {
@@ -142,6 +143,7 @@
             running: BTreeMap::new(),
             last_status: BTreeMap::new(),
             owners: BTreeMap::new(),
+            limits: TargetLimits::new(),
         }
     }
 
@@ -178,6 +180,20 @@
             }
             self.targets.insert(queue, targets);
         }
+        let targets = &self.targets;
+        self.limits
+            .retain(|limited| targets.values().flatten().any(|target| target.id == *limited));
+    }
+
+    /// Records the request limit that a response of a target names, `None` if it names none; returns whether it has changed.
+    pub fn record_limit(
+        &mut self,
+        now: Instant,
+        target: &TargetId,
+        sent_at: Instant,
+        per_s: Option<f64>,
+    ) -> bool {
+        self.limits.record(now, target, sent_at, per_s)
     }
 
     /// Submits an attempt to the owner of its queue.
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -41,6 +41,7 @@
             Err(error) => return AttemptEnd::NotSent { reason: error.to_string() },
         },
     };
+    let sent_at = Instant::now();
     let head = match send_and_read_head(
         &mut connection,
         request,
@@ -59,6 +60,12 @@
     if head.status == 421 {
         return AttemptEnd::WrongTarget;
     }
+    gateway.record_target_limit(
+        target,
+        request.id(&gateway.header_names).unwrap_or_default(),
+        sent_at,
+        head.headers.get(&gateway.header_names.target_limit),
+    );
     let has_proof = head.headers.get(&gateway.header_names.response_proof).is_some();
     let is_success = (200..300).contains(&head.status);
     if head.headers.get(&gateway.header_names.not_run).is_some() && !is_success {
