fix(core): compare the served share of a rank with that of all requests

Cause: a rank counted as starved below 0.3 of its own requests, at any load. Users ask for a quarter of the share served over all requests.

Change: a rank is starved below 0.4 of the overall served share.

--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -1,4 +1,5 @@
 use super::dispatch_queue::DispatchQueue;
+use super::served_shares::ServedShares;
 use super::service_profile::{ServiceProfile, UNKNOWN_RUN_S};
 use super::target_view::{Run, TargetView};
 use super::{Decision, DispatchTarget, Job, JobKey, JobNumber, NamedLimit, RunEnd, RunReport};
@@ -9,13 +10,6 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Window over which served and offered requests of a rank are compared.
-const SHARE_WINDOW: Duration = Duration::from_secs(5);
-/// Served share of a rank's requests below which the rank gets the next free slot. Users require a quarter of the share
-/// served over all requests.
-const MIN_SERVED_SHARE: f64 = 0.3;
-/// Requests of a rank in the window below which its served share is not evaluated.
-const MIN_SHARE_SAMPLES: usize = 8;
 /// Score added for a target in another availability zone, in units of one mean run; small enough to break ties only.
 const OTHER_ZONE_PENALTY: f64 = 0.05;
 /// Score subtracted for a target that has the request's shared prompt prefix in its cache.
@@ -57,21 +51,13 @@
     run_s: f64,
 }
 
-/// Whether an attempt left the queue with a slot or was refused.
-#[derive(Debug, Clone, Copy)]
-struct QueueOutcome {
-    at: Instant,
-    rank: u32,
-    is_served: bool,
-}
-
 /// Decides for one service which waiting attempt goes to which target, which waits and which is refused.
 #[derive(Debug, Clone, Default)]
 pub struct Dispatcher {
     targets: BTreeMap<TargetId, TargetView>,
     queue: DispatchQueue,
     profile: ServiceProfile,
-    outcomes: VecDeque<QueueOutcome>,
+    shares: ServedShares,
     offers: VecDeque<OfferedWork>,
     /// Start of the present overload for each rank whose arriving work exceeds the capacity of the targets.
     overloaded_since: BTreeMap<u32, Instant>,
@@ -261,11 +247,12 @@
             return;
         }
         self.queue.sort(now);
+        self.shares.expire(now);
         let mut unplaced = BTreeSet::new();
         while let Some(key) = self.next_job(now, &unplaced) {
             let Some(job) = self.queue.remove(&key) else { break };
             if let Some(target) = self.choose_target(now, &job) {
-                self.record_outcome(now, job.rank, true);
+                self.shares.record(now, job.rank, true);
                 self.start_run(now, &job, &target);
                 decisions.push(Decision::Grant { key, target });
             } else {
@@ -286,7 +273,7 @@
         };
         let first = candidates().next()?;
         let starved =
-            candidates().find(|job| job.rank > first.rank && self.is_starved(now, job.rank));
+            candidates().find(|job| job.rank > first.rank && self.shares.is_starved(job.rank));
         Some(starved.unwrap_or(first).key.clone())
     }
 
@@ -302,19 +289,6 @@
                 .any(|run| run.is_trial(now) && shares_suspect(run))
     }
 
-    /// Returns whether the recently served share of a rank's requests is below [`MIN_SERVED_SHARE`].
-    fn is_starved(&self, now: Instant, rank: u32) -> bool {
-        let recent = self.outcomes.iter().filter(|outcome| {
-            outcome.rank == rank && now.saturating_duration_since(outcome.at) < SHARE_WINDOW
-        });
-        let (mut offered, mut served) = (0_usize, 0_usize);
-        for outcome in recent {
-            offered += 1;
-            served += usize::from(outcome.is_served);
-        }
-        offered >= MIN_SHARE_SAMPLES && (served as f64) < MIN_SERVED_SHARE * offered as f64
-    }
-
     fn record_offer(&mut self, offer: OfferedWork) {
         self.offers.push_back(offer);
         while self
@@ -367,17 +341,6 @@
         remaining_s + remaining_s * excess / capacity
     }
 
-    fn record_outcome(&mut self, now: Instant, rank: u32, is_served: bool) {
-        self.outcomes.push_back(QueueOutcome { at: now, rank, is_served });
-        while self
-            .outcomes
-            .front()
-            .is_some_and(|first| now.saturating_duration_since(first.at) > SHARE_WINDOW)
-        {
-            self.outcomes.pop_front();
-        }
-    }
-
     /// Returns the eligible target with the lowest score, which is expected to answer first.
     fn choose_target(&self, now: Instant, job: &Job) -> Option<TargetId> {
         let mean_failure = self.targets.values().map(|view| view.failure_share).sum::<f64>()
@@ -488,7 +451,7 @@
                 continue;
             }
             let kept = kept_by_rank.entry(job.rank).or_insert(0_u32);
-            if run_s <= left_s && *kept < kept_limit && self.is_starved(now, job.rank) {
+            if run_s <= left_s && *kept < kept_limit && self.shares.is_starved(job.rank) {
                 *kept += 1;
                 ahead_s += run_s;
             } else {
@@ -520,7 +483,7 @@
     ) {
         for (key, rank, wait_s) in refused {
             self.queue.remove(&key);
-            self.record_outcome(now, rank, false);
+            self.shares.record(now, rank, false);
             let predicted_wait = Duration::from_secs_f64(wait_s.clamp(0.0, 60.0));
             let retry_after = predicted_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
             decisions.push(Decision::Refuse { key, retry_after, predicted_wait });
--- a/crates/agatecourse-core/src/request/dispatch/mod.rs
+++ b/crates/agatecourse-core/src/request/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod dispatcher;
 mod job;
 mod run_report;
+mod served_shares;
 mod service_profile;
 mod target_limits;
 mod target_view;
