fix(entry): wait for the pending reservation of a key at the deadline

Cause: the reservation ends 20 ms before the request's deadline; on a busy machine both are due when the thread runs again, and the deadline was looked at first, whatever the stage of the reservation. Class: two limits that are ordered by a margin of time.

Ruled out: a longer margin; a busy machine can always be slower.

Measured: pending_reservation_is_awaited_beyond_the_deadline blocks the thread over both ends; with the former order it can't get the reservation's answer.

--- a/crates/agatecourse-entry/src/request/job_task.rs
+++ b/crates/agatecourse-entry/src/request/job_task.rs
@@ -2,7 +2,8 @@
 use crate::process::{Explanation, NodeState, Verdict};
 use crate::request::RequestError;
 use crate::request::job::Job;
-use crate::request::job_progress::{Dispatch, JobProgress, StreamAttachment};
+use crate::request::job_deadline::run_until_deadline;
+use crate::request::job_progress::{Dispatch, JobProgress, ReservationStage, StreamAttachment};
 use crate::request::key_reservation::{
     ReservationDecision, end_reservation, replay_outcome, reserve_key,
 };
@@ -62,14 +63,21 @@
         let ending = tokio::select! {
             biased;
             () = self.response.caller_left() => RequestEnd::CallerLeft,
-            () = tokio::time::sleep_until(self.job.deadline.into()) => RequestEnd::Expired,
-            ending = self.run_to_end(&request) => ending,
+            ending = run_until_deadline(
+                self.job.deadline,
+                || self.progress.borrow().reservation == ReservationStage::Asked,
+                self.run_to_end(&request),
+            ) => ending.unwrap_or(RequestEnd::Expired),
         };
         self.finish(ending, matches!(request, TargetRequest::Chat(_))).await;
     }
 
     async fn run_to_end(&self, request: &TargetRequest) -> RequestEnd {
         match reserve_key(&self.state, &self.job, &self.progress).await {
+            // The journal may grant the key after the deadline.
+            Ok(ReservationDecision::Dispatch) if Instant::now() >= self.job.deadline => {
+                return RequestEnd::Expired;
+            }
             Ok(ReservationDecision::Dispatch) => {}
             Ok(ReservationDecision::Replay(outcome)) => {
                 return replay_outcome(&self.response, outcome).await;
@@ -202,6 +210,7 @@
     async fn finish(&self, ending: RequestEnd, is_model: bool) {
         let outcome = ending.outcome();
         let dispatch = self.progress.borrow().dispatch.clone();
+        let is_reservation_pending = self.progress.borrow().reservation == ReservationStage::Asked;
         let sent = dispatch.is_some() && outcome != DispatchOutcome::NotSent;
         end_reservation(&self.state, &self.job, &self.progress, sent);
         let attached = self.progress.borrow().attached.clone();
@@ -229,6 +238,10 @@
                 let detail = "the earlier request with the key has not ended in time";
                 Some(RequestError::new(ResultCode::EarlierRunning, detail))
             }
+            RequestEnd::Expired if is_reservation_pending => {
+                let detail = "the journal did not tell in time whether an earlier request has run";
+                Some(RequestError::new(ResultCode::EarlierUnknown, detail))
+            }
             RequestEnd::Expired if dispatch.is_none() => {
                 let error =
                     RequestError::new(ResultCode::ExpiredWaiting, "no target was free in time");
--- a/crates/agatecourse-entry/src/request/mod.rs
+++ b/crates/agatecourse-entry/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod engine_stream;
 mod grant_wait;
 mod job;
+mod job_deadline;
 mod job_progress;
 mod job_table;
 mod job_task;
