test(entry): keep the port of a closed address bound

The port was free after the call, and a server of a test that runs at the same time could get it.

Change: the port stays bound without a listener until the process ends, so connections are refused as before and nobody gets the port. The checks are the same.

--- a/crates/agatecourse-entry/tests/support/mod.rs
+++ b/crates/agatecourse-entry/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tempfile::TempDir;
+use tokio::net::TcpSocket;
 
 /// API key of the caller `desk`, which may use all routes.
 pub const CALLER_KEY: &str = "caller-key";
@@ -370,9 +371,14 @@
     (start_node(config(&[address])).await, engine)
 }
 
-/// Returns a loopback address on which nothing listens, so that connections are refused.
+/// Returns a loopback address on which nothing listens, so that connections are refused. The port stays bound until the process
+/// ends; otherwise a server of a test that runs at the same time might get it.
 pub fn closed_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = socket.local_addr().unwrap();
+    std::mem::forget(socket);
+    address
 }
 
 /// Returns a chat request to a node, to be sent with [`chat_body`].
