--- a/crates/agatecourse-entry/tests/support/mod.rs
+++ b/crates/agatecourse-entry/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tempfile::TempDir;
