refactor(gateway): split the coordinator and the request module by job

Actions, placements, submissions, the limits of targets and the request log are files of their own now. No behaviour changes; the tests of the crate and of the node pass as before.

--- a/crates/agatecourse-gateway/src/process/coordinator.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -1,12 +1,20 @@
-use super::{LimitNotice, PeerMessage, WireJob};
+mod coordinator_action;
+mod placement;
+mod submission;
+mod target_limits;
+
+use super::{PeerMessage, WireJob};
 use agatecourse_core::request::SuspectKey;
 use agatecourse_core::request::dispatch::{
-    Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber, NamedLimit,
-    RunEnd, RunReport, TargetLimits,
+    Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber, RunEnd,
+    RunReport, TargetLimits,
 };
 use agatecourse_types::{NodeId, TargetId, rank_by_rendezvous, stable_hash};
+pub use coordinator_action::CoordinatorAction;
+pub use placement::Placement;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
+pub use submission::Submission;
 
 /// Maximum number of targets per queue; the queues of a larger service are spread over several owners to bound the load of one.
 const TARGETS_PER_QUEUE: usize = 32;
@@ -28,71 +36,6 @@
 /// Maximum number of waiting and of running attempts in one status, so that the message fits a datagram.
 const STATUS_LIMIT: usize = 60;
 
-/// Maximum number of targets' limits in one status, so that the message fits a datagram.
-const MAX_STATUS_LIMITS: usize = 32;
-
-/// Decision of a queue's owner about an attempt.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Placement {
-    /// The attempt may be sent to the target.
-    Granted {
-        /// Target whose slot is reserved for the attempt.
-        target: TargetId,
-        /// Owner of the queue, which made the decision.
-        owner: NodeId,
-    },
-    /// The attempt can't be served in time.
-    Refused {
-        /// Time after which the caller should retry.
-        retry_after: Duration,
-        /// Predicted time in the queue.
-        predicted_wait: Duration,
-        /// Owner of the queue, which made the decision.
-        owner: NodeId,
-    },
-}
-
-/// Side effect that a [`Coordinator`] requests from its node.
-#[derive(Debug, Clone, PartialEq)]
-pub enum CoordinatorAction {
-    /// Send a message to a node.
-    Send {
-        /// Node that receives the message.
-        to: NodeId,
-        /// Message to send, which the network may lose.
-        message: PeerMessage,
-    },
-    /// Pass the decision to the request that waits for it.
-    Place {
-        /// Number of the attempt on this node.
-        number: JobNumber,
-        /// Decision of the queue's owner.
-        placement: Placement,
-    },
-    /// Log that the owner of a queue has changed.
-    OwnerChanged {
-        /// Name of the queue, `service/index`.
-        queue: String,
-        /// Previous owner; empty when the queue had none.
-        from: NodeId,
-        /// New owner.
-        to: NodeId,
-    },
-}
-
-/// An attempt that a request submits to the queue of its service.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Submission {
-    /// Number of the attempt, unique on the node.
-    pub number: JobNumber,
-    /// Service whose targets may run it.
-    pub service: String,
-    /// Arrival time of the caller's request; the wait and the deadline count from it.
-    pub arrived: Instant,
-    /// Properties that the owner of the queue decides by.
-    pub job: WireJob,
-}
-
 #[derive(Debug, Clone)]
 struct WaitingAttempt {
     queue: String,
@@ -188,28 +131,6 @@
             .retain(|limited| targets.values().flatten().any(|target| target.id == *limited));
     }
 
-    /// Records the request limit that a response of a target names, `None` if it names none, and reports a change to the owner of the
-    /// target's queue; returns whether it has changed.
-    pub fn record_limit(
-        &mut self,
-        now: Instant,
-        target: &TargetId,
-        sent_at: Instant,
-        per_s: Option<f64>,
-        actions: &mut Vec<CoordinatorAction>,
-    ) -> bool {
-        if !self.limits.record(now, target, sent_at, per_s) {
-            return false;
-        }
-        let is_in = |targets: &[DispatchTarget]| targets.iter().any(|spec| spec.id == *target);
-        let queue = self.targets.iter().find(|(_, targets)| is_in(targets));
-        if let Some(queue) = queue.map(|(queue, _)| queue.clone()) {
-            let owner = self.owner(now, &queue, actions);
-            self.send_status(now, &queue, &owner, actions);
-        }
-        true
-    }
-
     /// Submits an attempt to the owner of its queue.
     pub fn submit(
         &mut self,
@@ -497,24 +418,6 @@
         self.send_decisions(now, decisions, actions);
     }
 
-    fn on_limits(
-        &mut self,
-        now: Instant,
-        from: &NodeId,
-        queue: &str,
-        limits: &[LimitNotice],
-        actions: &mut Vec<CoordinatorAction>,
-    ) {
-        let mut decisions = Vec::new();
-        for notice in limits {
-            let age = Duration::from_millis(notice.age_ms);
-            let named_at = now.checked_sub(age).unwrap_or(now);
-            let limit = NamedLimit { per_s: notice.per_s, named_at };
-            self.dispatcher(now, from, queue).set_limit(now, &notice.target, limit, &mut decisions);
-        }
-        self.send_decisions(now, decisions, actions);
-    }
-
     fn on_granted(
         &mut self,
         now: Instant,
@@ -618,19 +521,7 @@
                 running.push((*number, run.target.clone()));
             }
         }
-        let queue_targets = self.targets.get(queue).map_or(&[][..], Vec::as_slice);
-        let mut limits: Vec<(&TargetId, NamedLimit)> = queue_targets
-            .iter()
-            .filter_map(|target| Some((&target.id, self.limits.get(&target.id)?)))
-            .collect();
-        limits.sort_by_key(|(_, limit)| std::cmp::Reverse(limit.named_at));
-        let limits =
-            limits.into_iter().take(MAX_STATUS_LIMITS).map(|(target, limit)| LimitNotice {
-                target: target.clone(),
-                per_s: limit.per_s,
-                age_ms: now.saturating_duration_since(limit.named_at).as_millis() as u64,
-            });
-        let limits = limits.collect();
+        let limits = self.limit_notices(now, queue);
         let message = PeerMessage::Status { queue: queue.to_string(), waiting, running, limits };
         self.send_or_handle(now, owner.clone(), message, actions);
     }
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -10,7 +10,7 @@
 use agatecourse_core::request::dispatch::{DispatchTarget, JobNumber, RunReport};
 use agatecourse_core::request::{CrashLedger, SuspectKey};
 use agatecourse_types::{NodeId, RouteId, TargetId, ZoneId, rendezvous_owner};
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use snafu::Snafu;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -104,7 +104,7 @@
     pub(super) deployment: RefCell<Option<Rc<Deployment>>>,
     pub(super) targets: RefCell<BTreeMap<TargetId, Rc<Target>>>,
     targets_updated: Cell<Instant>,
-    coordinator: RefCell<Coordinator>,
+    pub(super) coordinator: RefCell<Coordinator>,
     placements: RefCell<BTreeMap<JobNumber, oneshot::Sender<Placement>>>,
     pub(super) quotas: RefCell<Quotas>,
     /// Signals the adapter that a request needs a higher quota bound.
@@ -395,39 +395,6 @@
         self.perform_actions(actions);
     }
 
-    /// Records the request limit that a response of a target names, or that it names none. A limit that can't be parsed changes
-    /// nothing.
-    pub(crate) fn record_target_limit(
-        &self,
-        target: &Target,
-        request: &str,
-        sent_at: Instant,
-        named: Option<&str>,
-    ) {
-        let per_s = match named.map(str::parse::<f64>) {
-            Some(Ok(per_s)) if per_s.is_finite() && per_s >= 0.0 => Some(per_s),
-            None => None,
-            Some(_) => {
-                warn!(self.log, "target names an invalid request limit"; "target" => &target.id,
-                    "request" => request, "limit" => named);
-                return;
-            }
-        };
-        let (now, mut actions) = (Instant::now(), Vec::new());
-        let is_changed = self.coordinator.borrow_mut().record_limit(
-            now,
-            &target.id,
-            sent_at,
-            per_s,
-            &mut actions,
-        );
-        self.perform_actions(actions);
-        if is_changed {
-            info!(self.log, "target limit changed"; "target" => &target.id, "service" => &target.service,
-                "requests_per_s" => per_s, "request" => request);
-        }
-    }
-
     /// Removes suspects that were found not to crash targets from the queues.
     pub(super) fn clear_queued_suspects(&self, now: Instant, cleared: &[SuspectKey]) {
         let mut actions = Vec::new();
@@ -521,7 +488,7 @@
         })
     }
 
-    fn perform_actions(&self, actions: Vec<CoordinatorAction>) {
+    pub(super) fn perform_actions(&self, actions: Vec<CoordinatorAction>) {
         for action in actions {
             match action {
                 CoordinatorAction::Send { to, message } => {
--- a/crates/agatecourse-gateway/src/process/mod.rs
+++ b/crates/agatecourse-gateway/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod documents;
 mod gateway;
 mod gateway_crashes;
+mod gateway_limits;
 mod gateway_quota;
 mod gateway_versions;
 mod logger;
--- a/crates/agatecourse-gateway/src/request/answer.rs
+++ b/crates/agatecourse-gateway/src/request/answer.rs
@@ -1,3 +1,4 @@
+use crate::connection::ResponseHead;
 use agatecourse_types::{Problem, RequestId, ResultCode};
 use std::time::Duration;
 
@@ -87,3 +88,15 @@
         _ => "Unknown",
     }
 }
+
+/// Serializes a target's complete response for the caller.
+pub(crate) fn serialize_response(head: &ResponseHead, body: &[u8], closes: bool) -> Vec<u8> {
+    let mut out = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
+    head.headers.write_end_to_end(&mut out, |_| false);
+    if closes {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+    out.extend_from_slice(body);
+    out
+}
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -14,7 +14,7 @@
 mod suspect_keys;
 mod workload;
 
-pub(crate) use answer::{Reply, error_response};
+pub(crate) use answer::{Reply, error_response, serialize_response};
 pub(crate) use caller_request::CallerRequest;
 pub use event_splitter::{EventSplitter, EventTooLongError};
 pub(crate) use process_request::process_request;
