fix(gateway): answer at once when a lost run is not retried

Found on reading the change: a caller whose stream broke before its answer had begun waited 30 to 100 ms for the check whether the target has crashed, also when no retry could follow. The check now ends the attempt by itself, and only a retry waits for it.

Also: unexplained crashes expire with each heartbeat and not only with the next crash, so that two keys that are never told apart are not refused beyond five minutes (unexplained_crashes_expire); heartbeats no longer fill the crash pairs of earlier versions, whose keys could not match theirs.

Ruled out: replying before the end of the attempt reaches the queue; the queue must know of the crash first.

--- a/crates/agatecourse-core/src/request/crash_ledger/ledger.rs
+++ b/crates/agatecourse-core/src/request/crash_ledger/ledger.rs
@@ -96,6 +96,14 @@
         }
     }
 
+    /// Forgets crashes and keys that are too old to count.
+    pub fn expire(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < CRASH_LIFETIME;
+        self.crashes.retain(|crash| is_recent(crash.ended));
+        self.cleared.retain(|_, cleared| is_recent(*cleared));
+        self.quarantined.retain(|_, entry| !entry.is_outdated(now));
+    }
+
     /// Returns the keys that were quarantined since the last call.
     pub fn take_newly_quarantined(&mut self) -> Vec<QuarantinedKey> {
         std::mem::take(&mut self.newly_quarantined)
@@ -247,13 +255,6 @@
         }
         self.cleared.insert(key, now);
     }
-
-    fn expire(&mut self, now: Instant) {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < CRASH_LIFETIME;
-        self.crashes.retain(|crash| is_recent(crash.ended));
-        self.cleared.retain(|_, cleared| is_recent(*cleared));
-        self.quarantined.retain(|_, entry| !entry.is_outdated(now));
-    }
 }
 
 fn quarantined(key: SuspectKey, crashes: u32, retry_after: Duration) -> CrashVerdict {
--- a/crates/agatecourse-core/tests/crash_ledger.rs
+++ b/crates/agatecourse-core/tests/crash_ledger.rs
@@ -247,3 +247,17 @@
     };
     expect_that!(suspects.to_vec(), elements_are![eq(&DEADLY), eq(&10)]);
 }
+
+/// Guards against requests that are refused for ever, because two keys that are on all crashes alike are never told apart.
+#[gtest]
+fn unexplained_crashes_expire() {
+    let start = Instant::now();
+    let mut ledger = CrashLedger::new();
+    for number in 1..=3 {
+        crash(&mut ledger, start, number, &[100 + u64::from(number), SHARED, DEADLY]);
+    }
+    let now = start + Duration::from_secs(3 + 300);
+    expect_that!(is_quarantined(&ledger, start, &[200, SHARED, DEADLY]), eq(true));
+    ledger.expire(now);
+    expect_that!(ledger.verdict(now, &[200, SHARED, DEADLY]), eq(&CrashVerdict::Clear));
+}
--- a/crates/agatecourse-gateway/src/process/gateway_crashes.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_crashes.rs
@@ -84,11 +84,12 @@
         self.clear_suspects(now, from, keys);
     }
 
-    /// Returns some of the known crashes and quarantined keys for a heartbeat.
+    /// Returns some of the known crashes and quarantined keys for a heartbeat; forgets those that are too old.
     pub(crate) fn heartbeat_crash_notices(
         &self,
         now: Instant,
     ) -> (Vec<CrashNotice>, Vec<QuarantineNotice>) {
+        self.crashes.borrow_mut().expire(now);
         self.crash_notices(now, MAX_HEARTBEAT_CRASHES, MAX_HEARTBEAT_KEYS)
     }
 
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -27,7 +27,7 @@
     pub documents: SmallVec<[(DocumentId, u64); 2]>,
     /// Use of organisations in the quota window.
     pub usage: Vec<OrganisationUse>,
-    /// Suspects with the targets that crashed with them, for nodes of earlier versions, which do not read `crash_notices`.
+    /// Crashes as nodes of earlier versions count them; always empty, as `crash_notices` has their place.
     pub crashes: Vec<(SuspectKey, TargetHash)>,
     /// Reports of the sender on the rollouts that it knows.
     pub rollouts: SmallVec<[RolloutReport; 1]>,
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -178,10 +178,7 @@
         members: named,
         documents: gateway.documents.borrow().versions().collect(),
         usage,
-        crashes: crash_notices
-            .iter()
-            .filter_map(|notice| notice.keys.first().map(|key| (*key, notice.target)))
-            .collect(),
+        crashes: Vec::new(),
         rollouts: gateway.rollouts.borrow().reports().collect(),
         quota_bounds_version: gateway.quota_bounds_version(),
         quota_reports,
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -28,7 +28,7 @@
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 /// Time reserved before the deadline to write the refusal before the caller times out.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
-/// Longest wait of a request for the check whether its target has crashed.
+/// Longest wait of a retry for the check whether its target has crashed.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest wait of a request for a higher quota bound; several calls to the store.
 const QUOTA_BOUND_WAIT: Duration = Duration::from_millis(100);
@@ -417,7 +417,7 @@
                 ))
             }
             AttemptEnd::Lost { reason } => {
-                guard.end(self.find_lost_run_end(target).await);
+                self.end_lost_run(target, guard).await;
                 if kind.is_repeatable() && self.try_take_retry() {
                     return NextStep::Retry;
                 }
@@ -480,11 +480,11 @@
                 gateway.pool.borrow_mut().remove_target(&target.id);
                 warn!(gateway.log, "stream broke"; "request" => self.request.id(&gateway.header_names),
                     "target" => &target.id, "reason" => &reason, "last_event" => self.relay.last_event_id(), "answer_went_on" => self.relay.answer_goes_on());
-                guard.end(if self.relay.answer_goes_on() {
-                    RunEnd::Broken
+                if self.relay.answer_goes_on() {
+                    guard.end(RunEnd::Broken);
                 } else {
-                    self.find_lost_run_end(target).await
-                });
+                    self.end_lost_run(target, guard).await;
+                }
                 if self.admitted.route.kind.is_repeatable() && self.try_take_retry() {
                     return NextStep::Retry;
                 }
@@ -515,11 +515,11 @@
         self.has_attempts_left() && self.gateway.try_retry(&self.admitted.service)
     }
 
-    /// Finds out whether the target of a lost run has crashed; if so, records the crash, so that later attempts know of it.
+    /// Ends the attempt of a lost run as soon as it is known whether its target has crashed. If a retry may follow, waits for that, so
+    /// that the retry takes account of the crash.
     ///
-    /// The check goes on when the caller disconnects meanwhile. Requests without prompt parts do not wait for it, as their
-    /// objectives are shorter than the check.
-    async fn find_lost_run_end(&self, target: &Rc<Target>) -> RunEnd {
+    /// The attempts of requests without prompt parts end at once, as their objectives are shorter than the check.
+    async fn end_lost_run(&self, target: &Rc<Target>, guard: AttemptGuard) {
         let report = CrashReport {
             target: stable_hash(&[target.address.to_string().as_bytes()]) as u32,
             started: self.sent_at,
@@ -527,15 +527,21 @@
             keys: self.admitted.suspect_keys.clone(),
         };
         let has_parts = report.keys.len() > 1;
+        let may_retry = self.admitted.route.kind.is_repeatable() && self.has_attempts_left();
         let request = self.request.id(&self.gateway.header_names).unwrap_or_default().to_string();
         let check = check_for_crash(Rc::clone(self.gateway), Rc::clone(target), request, report);
-        let check = actix_rt::spawn(check);
         if !has_parts {
-            return RunEnd::Broken;
+            guard.end(RunEnd::Broken);
+            actix_rt::spawn(check);
+            return;
         }
-        match tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await {
-            Ok(Ok(true)) => RunEnd::Unreachable,
-            _ => RunEnd::Broken,
+        let check = actix_rt::spawn(async move {
+            let has_crashed = check.await;
+            guard.end(if has_crashed { RunEnd::Unreachable } else { RunEnd::Broken });
+        });
+        if may_retry {
+            // The check goes on after the time that a retry waits for it.
+            let _ = tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await;
         }
     }
 }
