feat(core,gateway,platform): heed targets that leave or ask for a pause

Ruled out: waiting for the row to say draining (rows lag, and the rule binds a node that is not in touch); closing the target for all nodes on a pause (it concerns one node). Change: limit, pause and departure are one kind of signal, with one record a target and process in the core. A node reports a change to the owner of the queue in its status, checks again before the first byte, and submits an attempt that is stopped there again without counting a retry. A target's process that starts later under the same id begins without signals or learned performance. A refusal while all targets pause names the time of the first that takes requests again.

--- a/crates/agatecourse-core/benches/dispatch.rs
+++ b/crates/agatecourse-core/benches/dispatch.rs
@@ -32,6 +32,7 @@
             slots: SLOTS,
             zone: format!("zone-{}", index % 3),
             version: "v1".to_string(),
+            started_unix_ms: 1,
         };
         let mut load =
             Self { dispatcher: Dispatcher::new(), now, next_number: 0, running: VecDeque::new() };
--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -80,7 +80,14 @@
         self.targets.retain(|id, _| known.contains(id));
         for spec in targets {
             match self.targets.get_mut(&spec.id) {
-                Some(view) => view.spec = spec,
+                Some(view) if view.spec.started_unix_ms == spec.started_unix_ms => view.spec = spec,
+                // Nothing that was learned of an earlier process of the target holds for this one, but its runs stay counted
+                // until their nodes report their ends.
+                Some(view) => {
+                    let runs = std::mem::take(&mut view.runs);
+                    *view = TargetView::new(spec);
+                    view.runs = runs;
+                }
                 None => {
                     self.targets.insert(spec.id.clone(), TargetView::new(spec));
                 }
@@ -187,6 +194,37 @@
         }
     }
 
+    /// Gives a target no more requests, because it has told a node that it leaves. Does nothing if the process that said so has been
+    /// replaced.
+    pub fn set_leaving(&mut self, target: &TargetId, started_unix_ms: u64) {
+        if let Some(view) = self.view_of_process(target, started_unix_ms) {
+            view.set_leaving();
+        }
+    }
+
+    /// Gives a target no requests of a node until a time, because it has asked the node for a pause. Does nothing if the process that
+    /// asked has been replaced.
+    pub fn pause_node(
+        &mut self,
+        now: Instant,
+        target: &TargetId,
+        started_unix_ms: u64,
+        node: &NodeId,
+        until: Instant,
+    ) {
+        if let Some(view) = self.view_of_process(target, started_unix_ms) {
+            view.pause_node(now, node, until);
+        }
+    }
+
+    fn view_of_process(
+        &mut self,
+        target: &TargetId,
+        started_unix_ms: u64,
+    ) -> Option<&mut TargetView> {
+        self.targets.get_mut(target).filter(|view| view.spec.started_unix_ms == started_unix_ms)
+    }
+
     /// Removes suspects that were found not to crash targets, so that attempts no longer wait for each other.
     pub fn clear_suspects(
         &mut self,
@@ -360,6 +398,7 @@
         self.targets
             .values()
             .filter(|view| view.free_slots(now) > 0 && !job.excluded.contains(&view.spec.id))
+            .filter(|view| view.node_pause_end(now, &job.key.node).is_none())
             .filter(|view| job.version.is_empty() || view.spec.version == job.version)
             .filter(|view| {
                 job.avoided_version.is_empty() || view.spec.version != job.avoided_version
@@ -382,6 +421,16 @@
             .map(|view| view.spec.id.clone())
     }
 
+    /// Returns the time in seconds until the first target takes requests of a node again; zero if one does.
+    fn pause_s(&self, now: Instant, node: &NodeId) -> f64 {
+        let pauses = self
+            .targets
+            .values()
+            .filter(|view| view.is_staying())
+            .map(|view| view.node_pause_end(now, node).unwrap_or(now));
+        pauses.min().map_or(0.0, |end| end.saturating_duration_since(now).as_secs_f64())
+    }
+
     fn start_run(&mut self, now: Instant, job: &Job, target: &TargetId) {
         let expected_s = self.profile.expected_s(job.kind, job.relative_size);
         if let Some(view) = self.targets.get_mut(target) {
@@ -432,7 +481,8 @@
             let run_s = self.profile.expected_s(job.kind, job.relative_size);
             let left_s = job.deadline.saturating_duration_since(now).as_secs_f64();
             let to_objective_s = job.objective.saturating_duration_since(now).as_secs_f64();
-            let mut wait_s = ahead_s / capacity;
+            let pause_s = self.pause_s(now, &job.key.node);
+            let mut wait_s = (ahead_s / capacity).max(pause_s);
             // The objective applies to the first event of a stream and to the end of a plain answer.
             let first_byte_s = match arriving {
                 Some(key) if *key != job.key => 0.0,
--- a/crates/agatecourse-core/src/request/dispatch/mod.rs
+++ b/crates/agatecourse-core/src/request/dispatch/mod.rs
@@ -10,11 +10,11 @@
 mod run_report;
 mod served_shares;
 mod service_profile;
-mod target_limits;
+mod target_signals;
 mod target_view;
 
 pub use dispatcher::{Dispatcher, DispatcherSnapshot};
 pub use job::{Decision, Job, JobKey, JobNumber};
 pub use run_report::{RunEnd, RunReport};
-pub use target_limits::{NamedLimit, TargetLimits};
+pub use target_signals::{Closure, NamedLimit, SignalChange, TargetSignal, TargetSignals};
 pub use target_view::DispatchTarget;
--- a/crates/agatecourse-core/src/request/dispatch/target_view.rs
+++ b/crates/agatecourse-core/src/request/dispatch/target_view.rs
@@ -1,6 +1,6 @@
 use super::{JobKey, NamedLimit, RunEnd};
 use crate::request::{SuspectKey, TokenBucket};
-use agatecourse_types::TargetId;
+use agatecourse_types::{NodeId, TargetId};
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -38,6 +38,8 @@
     pub zone: String,
     /// Software version, matched against a job's required and avoided versions.
     pub version: String,
+    /// Start of its process in Unix milliseconds, 0 when unknown; a process that starts later under the same id is another one.
+    pub started_unix_ms: u64,
 }
 
 /// An attempt that holds a slot of a target, with what is needed to learn from its run time.
@@ -75,6 +77,10 @@
     limit: Option<NamedLimit>,
     /// Enforces the limit; `None` while there is none.
     bucket: Option<TokenBucket>,
+    /// True once the target has told a node that it leaves.
+    is_leaving: bool,
+    /// Nodes that the target has asked for a pause, with its end.
+    paused_nodes: BTreeMap<NodeId, Instant>,
 }
 
 impl TargetView {
@@ -89,12 +95,15 @@
             cached_prefixes: BTreeMap::new(),
             limit: None,
             bucket: None,
+            is_leaving: false,
+            paused_nodes: BTreeMap::new(),
         }
     }
 
     /// Returns how many more requests the target may get now; 0 while it is paused or at the limit that it has named.
     pub(super) fn free_slots(&self, now: Instant) -> u32 {
-        if self.paused_until.is_some_and(|until| now < until)
+        if self.is_leaving
+            || self.paused_until.is_some_and(|until| now < until)
             || self.bucket.is_some_and(|bucket| bucket.available(now) < 1.0)
         {
             return 0;
@@ -121,6 +130,31 @@
         bucket.set_rate(now, rate_per_s, burst);
     }
 
+    /// Marks the target as leaving; it gets no requests any more.
+    pub(super) fn set_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Keeps the requests of a node away from the target until a time.
+    pub(super) fn pause_node(&mut self, now: Instant, node: &NodeId, until: Instant) {
+        self.paused_nodes.retain(|_, end| now < *end);
+        let end = self.paused_nodes.entry(node.clone()).or_insert(until);
+        *end = (*end).max(until);
+    }
+
+    /// Returns when the target's pause for a node ends, `None` if the node may send it requests.
+    pub(super) fn node_pause_end(&self, now: Instant, node: &NodeId) -> Option<Instant> {
+        if self.paused_nodes.is_empty() {
+            return None;
+        }
+        self.paused_nodes.get(node).copied().filter(|until| now < *until)
+    }
+
+    /// Returns whether the target may get requests, now or later.
+    pub(super) fn is_staying(&self) -> bool {
+        !self.is_leaving
+    }
+
     /// Counts a request against the target's limit.
     pub(super) fn take_token(&mut self, now: Instant) {
         if let Some(bucket) = &mut self.bucket {
@@ -131,7 +165,7 @@
     /// Returns the work that the target completes, in slot-seconds per second on a target of mean speed, if its requests take
     /// `mean_run_s` on average; 0 while it is paused.
     pub(super) fn capacity(&self, now: Instant, mean_run_s: f64) -> f64 {
-        if self.pause_end(now).is_some() {
+        if self.is_leaving || self.pause_end(now).is_some() {
             return 0.0;
         }
         let by_slots = f64::from(self.spec.slots) / self.slowness.max(0.1);
--- a/crates/agatecourse-core/tests/crashing_parts.rs
+++ b/crates/agatecourse-core/tests/crashing_parts.rs
@@ -111,6 +111,7 @@
             slots: 4,
             zone: "a".to_string(),
             version: "v1".to_string(),
+            started_unix_ms: 1,
         });
         dispatcher.set_targets(start, targets.collect(), &mut Vec::new());
         Self {
--- a/crates/agatecourse-core/tests/dispatcher/decisions.rs
+++ b/crates/agatecourse-core/tests/dispatcher/decisions.rs
@@ -17,6 +17,7 @@
         slots: 1,
         zone: zone.to_string(),
         version: "v1".to_string(),
+        started_unix_ms: 1,
     }
 }
 
--- a/crates/agatecourse-core/tests/dispatcher/main.rs
+++ b/crates/agatecourse-core/tests/dispatcher/main.rs
@@ -4,3 +4,4 @@
 mod load_patterns;
 mod simulation;
 mod target_limits;
+mod target_signals;
--- a/crates/agatecourse-core/tests/dispatcher/simulation.rs
+++ b/crates/agatecourse-core/tests/dispatcher/simulation.rs
@@ -89,6 +89,7 @@
                 slots,
                 zone: "a".to_string(),
                 version: "v1".to_string(),
+                started_unix_ms: 1,
             });
         }
         simulation.dispatcher.set_targets(start, list, &mut Vec::new());
--- a/crates/agatecourse-core/tests/dispatcher/target_limits.rs
+++ b/crates/agatecourse-core/tests/dispatcher/target_limits.rs
@@ -3,7 +3,8 @@
 
 use crate::simulation::{drafting_kinds, job};
 use agatecourse_core::request::dispatch::{
-    Decision, DispatchTarget, Dispatcher, JobKey, NamedLimit, RunEnd, RunReport, TargetLimits,
+    Decision, DispatchTarget, Dispatcher, JobKey, NamedLimit, RunEnd, RunReport, TargetSignal,
+    TargetSignals,
 };
 use googletest::prelude::*;
 use std::collections::BTreeMap;
@@ -32,6 +33,7 @@
             slots: 4,
             zone: "a".to_string(),
             version: "v1".to_string(),
+            started_unix_ms: 1,
         });
         dispatcher.set_targets(now, targets.collect(), &mut Vec::new());
         let (runs, grants) = (Vec::new(), BTreeMap::new());
@@ -177,13 +179,16 @@
 fn late_responses_and_reports_change_nothing() {
     let sent = Instant::now();
     let target = "limited".to_string();
-    let mut limits = TargetLimits::new();
-    expect_that!(limits.record(sent + STEP, &target, sent, None), eq(false));
-    expect_that!(limits.record(sent + STEP, &target, sent, Some(2.0)), eq(true));
-    expect_that!(limits.record(sent + STEP * 2, &target, sent, None), eq(false));
-    expect_that!(limits.get(&target).and_then(|limit| limit.per_s), some(eq(2.0)));
-    expect_that!(limits.record(sent + STEP * 3, &target, sent + STEP * 2, None), eq(true));
-    expect_that!(limits.get(&target).and_then(|limit| limit.per_s), none());
+    let mut signals = TargetSignals::new();
+    let mut record = |now, sent_at, limit_per_s| {
+        let signal = TargetSignal { limit_per_s, ..TargetSignal::default() };
+        let change = signals.record(now, &target, 1, sent_at, signal);
+        (change.any(), signals.limit(&target, 1).and_then(|limit| limit.per_s))
+    };
+    expect_that!(record(sent + STEP, sent, None), eq((false, None)));
+    expect_that!(record(sent + STEP, sent, Some(2.0)), eq((true, Some(2.0))));
+    expect_that!(record(sent + STEP * 2, sent, None), eq((false, Some(2.0))));
+    expect_that!(record(sent + STEP * 3, sent + STEP * 2, None), eq((true, None)));
 
     let mut pressure = Pressure::new(&["limited"]);
     let old = NamedLimit { per_s: None, named_at: pressure.now };
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -1,13 +1,13 @@
 mod coordinator_action;
 mod placement;
 mod submission;
-mod target_limits;
+mod target_signals;
 
 use super::{PeerMessage, WireJob};
 use agatecourse_core::request::SuspectKey;
 use agatecourse_core::request::dispatch::{
     Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber, RunEnd,
-    RunReport, TargetLimits,
+    RunReport, TargetSignals,
 };
 use agatecourse_types::{NodeId, TargetId, rank_by_rendezvous, stable_hash};
 pub use coordinator_action::CoordinatorAction;
@@ -70,7 +70,7 @@
     running: BTreeMap<JobNumber, RunningAttempt>,
     last_status: BTreeMap<String, (NodeId, Instant)>,
     owners: BTreeMap<String, NodeId>,
-    limits: TargetLimits,
+    signals: TargetSignals,
 }
 
 impl Coordinator {
@@ -89,7 +89,7 @@
             running: BTreeMap::new(),
             last_status: BTreeMap::new(),
             owners: BTreeMap::new(),
-            limits: TargetLimits::new(),
+            signals: TargetSignals::new(),
         }
     }
 
@@ -126,9 +126,6 @@
             }
             self.targets.insert(queue, targets);
         }
-        let targets = &self.targets;
-        self.limits
-            .retain(|limited| targets.values().flatten().any(|target| target.id == *limited));
     }
 
     /// Submits an attempt to the owner of its queue.
@@ -211,7 +208,8 @@
                 }
                 self.send_decisions(now, decisions, actions);
             }
-            PeerMessage::Status { queue, waiting, running, limits } => {
+            PeerMessage::Status { queue, waiting, running, limits, closures } => {
+                self.on_closures(now, from, &queue, &closures);
                 self.on_limits(now, from, &queue, &limits, actions);
                 self.on_status(now, from, &queue, &waiting, &running, actions);
             }
@@ -447,14 +445,14 @@
 
     fn dispatcher(&mut self, now: Instant, from: &NodeId, queue: &str) -> &mut Dispatcher {
         self.last_seen.insert((queue.to_string(), from.clone()), now);
-        let (targets, limits) = (&self.targets, &self.limits);
+        let (targets, signals) = (&self.targets, &self.signals);
         self.dispatchers.entry(queue.to_string()).or_insert_with(|| {
             let mut dispatcher = Dispatcher::new();
             let targets = targets.get(queue).cloned().unwrap_or_default();
             // A dispatcher without attempts makes no decisions.
             dispatcher.set_targets(now, targets.clone(), &mut Vec::new());
             for target in targets {
-                if let Some(limit) = limits.get(&target.id) {
+                if let Some(limit) = signals.limit(&target.id, target.started_unix_ms) {
                     dispatcher.set_limit(now, &target.id, limit, &mut Vec::new());
                 }
             }
@@ -522,7 +520,9 @@
             }
         }
         let limits = self.limit_notices(now, queue);
-        let message = PeerMessage::Status { queue: queue.to_string(), waiting, running, limits };
+        let closures = self.closure_notices(now, queue);
+        let queue = queue.to_string();
+        let message = PeerMessage::Status { queue, waiting, running, limits, closures };
         self.send_or_handle(now, owner.clone(), message, actions);
     }
 
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -238,6 +238,7 @@
                 slots: target.slots,
                 zone: target.zone.clone(),
                 version: target.version.clone(),
+                started_unix_ms: target.started_unix_ms,
             });
         }
         self.metrics.targets.set(gauge_value(usable.len()));
--- a/crates/agatecourse-gateway/src/process/mod.rs
+++ b/crates/agatecourse-gateway/src/process/mod.rs
@@ -4,8 +4,8 @@
 mod documents;
 mod gateway;
 mod gateway_crashes;
-mod gateway_limits;
 mod gateway_quota;
+mod gateway_signals;
 mod gateway_versions;
 mod logger;
 mod members;
@@ -25,8 +25,8 @@
 pub use members::Members;
 pub(crate) use metrics::Metrics;
 pub use peer_message::{
-    CrashNotice, Heartbeat, LimitNotice, OrganisationUse, PeerMessage, QuarantineNotice,
-    QuotaReport, RolloutReport, WireJob,
+    ClosureNotice, CrashNotice, Heartbeat, LimitNotice, OrganisationUse, PeerMessage,
+    QuarantineNotice, QuotaReport, RolloutReport, WireJob,
 };
 pub use peers::PeerEndpoint;
 pub use rollouts::{RolloutOutcome, Rollouts};
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -115,6 +115,17 @@
     pub age_ms: u64,
 }
 
+/// A target that takes no requests of a node, with the rest of a pause in place of a time because the clocks of nodes differ.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClosureNotice {
+    /// Target that is closed.
+    pub target: TargetId,
+    /// Start of the process that said so, in Unix milliseconds.
+    pub started_unix_ms: u64,
+    /// Rest of the pause that the target has asked the sender for, in milliseconds; `None` if the target leaves.
+    pub pause_ms: Option<u64>,
+}
+
 /// An attempt as submitted to the owner of its queue; times are relative because the clocks of nodes differ.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WireJob {
@@ -204,6 +215,8 @@
         // Nodes of earlier versions end a status here.
         /// Limits that targets of the queue have named to the sender.
         limits: Vec<LimitNotice>,
+        /// Targets of the queue that take no requests of the sender.
+        closures: Vec<ClosureNotice>,
     },
     /// A target crashed with a request of the sender on it.
     Crash(CrashNotice),
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -2,6 +2,7 @@
 use crate::connection::{BodyReader, HeaderNames, ResponseError, ResponseHead, TargetConnection};
 use crate::process::Gateway;
 use crate::version::Target;
+use agatecourse_core::request::dispatch::Closure;
 use std::time::{Duration, Instant};
 
 /// Largest response body in bytes that is buffered before it is forwarded.
@@ -12,8 +13,10 @@
 pub(crate) enum AttemptEnd {
     /// No byte of the request was sent.
     NotSent { reason: String },
+    /// No byte of the request was sent, because the target leaves or has asked this node for a pause since it was granted.
+    Closed { closure: Closure },
     /// The target states that it did not run the request.
-    NotRun { status: u16, retry_after: Option<Duration> },
+    NotRun { status: u16 },
     /// The address belongs to a different target than the expected one (status 421).
     WrongTarget,
     /// A complete response; a successful one carries the target's proof header.
@@ -41,6 +44,13 @@
             Err(error) => return AttemptEnd::NotSent { reason: error.to_string() },
         },
     };
+    // The target may have closed to this node since the grant, while a connection was opened.
+    if let Some(closure) = gateway.target_closure(target) {
+        if closure != Closure::Leaving {
+            gateway.pool.borrow_mut().put(&target.id, connection, None, Instant::now());
+        }
+        return AttemptEnd::Closed { closure };
+    }
     let sent_at = Instant::now();
     let head = match send_and_read_head(
         &mut connection,
@@ -60,19 +70,18 @@
     if head.status == 421 {
         return AttemptEnd::WrongTarget;
     }
-    gateway.record_target_limit(
+    gateway.record_target_signal(
         target,
         request.id(&gateway.header_names).unwrap_or_default(),
         sent_at,
-        head.headers.get(&gateway.header_names.target_limit),
+        &head,
     );
     let has_proof = head.headers.get(&gateway.header_names.response_proof).is_some();
     let is_success = (200..300).contains(&head.status);
     if head.headers.get(&gateway.header_names.not_run).is_some() && !is_success {
         let status = head.status;
-        let retry_after = head.headers.get("retry-after").and_then(parse_seconds);
         if let Ok(_body) = read_complete_body(gateway, target, connection, &head).await {}
-        return AttemptEnd::NotRun { status, retry_after };
+        return AttemptEnd::NotRun { status };
     }
     if is_success && !has_proof {
         return AttemptEnd::Lost {
@@ -156,7 +165,7 @@
 }
 
 /// Parses a non-negative number of seconds; caps it at 600 s.
-fn parse_seconds(text: &str) -> Option<Duration> {
+pub(crate) fn parse_seconds(text: &str) -> Option<Duration> {
     let seconds =
         text.trim().parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0)?;
     Some(Duration::from_secs_f64(seconds.min(600.0)))
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -24,6 +24,9 @@
 
 /// `Retry-After` when a request could not be placed for a reason other than load.
 const PLACEMENT_RETRY: Duration = Duration::from_millis(300);
+/// Grants of targets that are closed to this node after which a request asks for none of these targets any more; the owner of the queue
+/// hears of a closed target before it gets the next attempt, so that further grants mean that it does not know the target's process.
+const MAX_CLOSED_GRANTS: u32 = 2;
 /// Attempts that end without running the request, such as failed connections, before the request is refused.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 /// Time reserved before the deadline to write the refusal before the caller times out.
@@ -49,6 +52,10 @@
     sent_attempts: u32,
     /// Attempts that ended without running the request: not sent, not run, or granted a target that this node does not know.
     unsent_attempts: u32,
+    /// Grants that were not used because the target had closed to this node.
+    closed_grants: u32,
+    /// Response of a target to an earlier attempt, which said that it failed; the reply if no later attempt gets a response.
+    failed_response: Option<Reply>,
     /// True while an attempt is in flight; the log line of a request that ends meanwhile counts it.
     is_sending: bool,
     /// Target of the latest attempt, for the log; empty before the first.
@@ -74,6 +81,8 @@
     Reply(Reply),
     /// Submit another attempt that excludes the target.
     Retry,
+    /// Submit the attempt again, as no byte of it was sent to the target, which may take requests later.
+    Resubmit,
 }
 
 /// Admits a request, queues it and sends it to targets until it has a reply; writes stream events to the caller.
@@ -103,6 +112,8 @@
         failed_targets: SmallVec::new(),
         sent_attempts: 0,
         unsent_attempts: 0,
+        closed_grants: 0,
+        failed_response: None,
         is_sending: false,
         last_target: TargetId::new(),
         granted_after: None,
@@ -211,6 +222,12 @@
             match self.run_attempt(&target, &owner, guard, caller, may_have_run).await {
                 NextStep::Reply(reply) => return reply,
                 NextStep::Retry => self.failed_targets.push(target.id.clone()),
+                NextStep::Resubmit => {
+                    self.closed_grants += 1;
+                    if self.closed_grants > MAX_CLOSED_GRANTS {
+                        self.failed_targets.push(target.id.clone());
+                    }
+                }
             }
         }
     }
@@ -250,7 +267,7 @@
 
     /// Returns the reply to a request that ends before its response is complete; its code depends on whether a target
     /// may have run the request.
-    fn early_end_reply(&self, early_end: EarlyEnd, may_have_run: bool) -> Reply {
+    fn early_end_reply(&mut self, early_end: EarlyEnd, may_have_run: bool) -> Reply {
         let (name, unsent, running) = match early_end {
             EarlyEnd::Deadline => {
                 ("deadline passed", ResultCode::ExpiredWaiting, ResultCode::ExpiredRunning)
@@ -261,6 +278,8 @@
         };
         if self.relay.has_started() {
             Reply::StreamBroken { reason: format!("{name} inside the stream") }
+        } else if let Some(reply) = self.failed_response.take() {
+            reply
         } else if may_have_run {
             Reply::error(running, format!("{name} while the target was at work"))
         } else {
@@ -269,16 +288,20 @@
     }
 
     /// Returns the reply to a quarantined request; `None` for another one.
-    fn quarantine_reply(&self, verdict: &CrashVerdict) -> Option<Reply> {
+    fn quarantine_reply(&mut self, verdict: &CrashVerdict) -> Option<Reply> {
         let (retry_after, reason) = quarantine_reason(verdict)?;
         Some(self.not_placed_reply(ResultCode::Quarantined, retry_after, &reason))
     }
 
-    /// Returns the reply to a request that got no target; the outcome is unknown if an earlier attempt was sent.
-    fn not_placed_reply(&self, code: ResultCode, retry_after: Duration, reason: &str) -> Reply {
+    /// Returns the reply to a request that gets no further target: the failure with which an earlier one has answered, else a refusal, or an
+    /// unknown outcome if an earlier attempt was sent.
+    fn not_placed_reply(&mut self, code: ResultCode, retry_after: Duration, reason: &str) -> Reply {
         if self.relay.has_started() {
             return Reply::StreamBroken { reason: reason.to_string() };
         }
+        if let Some(reply) = self.failed_response.take() {
+            return reply;
+        }
         if self.sent_attempts > 0 {
             return Reply::error(ResultCode::OutcomeUnknown, reason);
         }
@@ -339,14 +362,16 @@
             may_have_run.set(self.sent_attempts > 0);
         }
         self.sent_attempts += u32::from(sent);
-        self.unsent_attempts += u32::from(!sent);
+        let is_closed = matches!(end, AttemptEnd::Closed { .. });
+        self.unsent_attempts += u32::from(!sent && !is_closed);
         let has_failed = match &end {
             AttemptEnd::Complete { head, .. } => Some(head.status >= 500),
             AttemptEnd::Lost { .. } => Some(true),
             AttemptEnd::Stream { .. } => Some(false),
-            AttemptEnd::NotSent { .. } | AttemptEnd::NotRun { .. } | AttemptEnd::WrongTarget => {
-                None
-            }
+            AttemptEnd::NotSent { .. }
+            | AttemptEnd::Closed { .. }
+            | AttemptEnd::NotRun { .. }
+            | AttemptEnd::WrongTarget => None,
         };
         if let Some(has_failed) = has_failed {
             gateway.record_answer(target, self.request_kind(), has_failed, started.elapsed());
@@ -369,16 +394,22 @@
                 let is_failure = head.status >= 500;
                 self.gateway.record_sound(Instant::now(), &self.admitted.suspect_keys);
                 guard.end(if is_failure { RunEnd::Failed } else { RunEnd::Answered });
-                if is_failure && kind.is_repeatable() && self.try_take_retry() {
-                    return NextStep::Retry;
-                }
+                let may_retry = is_failure && kind.is_repeatable() && self.try_take_retry();
                 if self.relay.has_started() {
+                    if may_retry {
+                        return NextStep::Retry;
+                    }
                     return NextStep::Reply(Reply::StreamBroken {
                         reason: format!("resumed stream got status {}", head.status),
                     });
                 }
                 let bytes = serialize_response(&head, &body, self.closes);
-                NextStep::Reply(Reply::Complete { status: head.status, bytes })
+                let reply = Reply::Complete { status: head.status, bytes };
+                if may_retry {
+                    self.failed_response = Some(reply);
+                    return NextStep::Retry;
+                }
+                NextStep::Reply(reply)
             }
             AttemptEnd::Stream { head, connection } => {
                 self.relay_stream(target, guard, caller, &head, connection).await
@@ -394,6 +425,10 @@
                     &reason,
                 ))
             }
+            AttemptEnd::Closed { .. } => {
+                guard.end(RunEnd::Unused);
+                NextStep::Resubmit
+            }
             AttemptEnd::NotRun { .. } | AttemptEnd::WrongTarget => {
                 let is_wrong = matches!(end, AttemptEnd::WrongTarget);
                 guard.end(if is_wrong { RunEnd::Unreachable } else { RunEnd::Rejected });
@@ -406,10 +441,9 @@
                 {
                     return NextStep::Retry;
                 }
-                let retry_after = match end {
-                    AttemptEnd::NotRun { retry_after: Some(wait), .. } => wait,
-                    _ => PLACEMENT_RETRY,
-                };
+                // The pause that a target asks for concerns this node; callers may come back as soon as any target takes requests.
+                let pause = self.gateway.pause_of_all_targets(&self.admitted.service);
+                let retry_after = pause.unwrap_or_default().max(PLACEMENT_RETRY);
                 NextStep::Reply(self.not_placed_reply(
                     ResultCode::Shed,
                     retry_after,
--- a/crates/agatecourse-gateway/src/request/process_request/request_log.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/request_log.rs
@@ -15,7 +15,8 @@
             AttemptEnd::Complete { head, .. } => ("failed", format!("status {}", head.status)),
             AttemptEnd::Stream { .. } => ("streaming", String::new()),
             AttemptEnd::NotSent { reason } => ("not sent", reason.clone()),
-            AttemptEnd::NotRun { status, .. } => ("not run", format!("status {status}")),
+            AttemptEnd::Closed { closure } => ("closed", format!("{closure:?}")),
+            AttemptEnd::NotRun { status } => ("not run", format!("status {status}")),
             AttemptEnd::WrongTarget => ("not run", "address belongs to another target".to_string()),
             AttemptEnd::Lost { reason } => ("lost", reason.clone()),
         };
--- a/crates/agatecourse-gateway/tests/coordinator.rs
+++ b/crates/agatecourse-gateway/tests/coordinator.rs
@@ -1,6 +1,6 @@
 //! Tests of the coordinators of several nodes that exchange messages over a simulated network.
 
-use agatecourse_core::request::dispatch::{DispatchTarget, RunEnd, RunReport};
+use agatecourse_core::request::dispatch::{DispatchTarget, RunEnd, RunReport, TargetSignal};
 use agatecourse_gateway::process::{
     Coordinator, CoordinatorAction, PeerMessage, Placement, Submission, WireJob,
 };
@@ -43,6 +43,7 @@
                     slots: 1,
                     zone: "a".to_string(),
                     version: "v1".to_string(),
+                    started_unix_ms: 1,
                 })
                 .collect();
             node.set_targets(now, "drafts", list, &mut Vec::new());
@@ -342,7 +343,8 @@
     cluster.owner();
     for name in &names {
         cluster.call(name, |node, now, actions| {
-            node.record_limit(now, &target, now, Some(2.0), actions);
+            let signal = TargetSignal { limit_per_s: Some(2.0), ..TargetSignal::default() };
+            node.record_signal(now, (&target, 1), now, signal, actions);
         });
     }
     let mut granted_at = Vec::new();
@@ -386,3 +388,66 @@
     expect_that!(granted_at.iter().map(in_window).max().unwrap_or(0), le(17));
     expect_that!(granted_at.len(), ge(10));
 }
+
+/// Submits attempts on five nodes in turn, ends those that are granted, and returns the nodes by the target that they were granted.
+fn grants_by_target(cluster: &mut Cluster, first: u64) -> BTreeMap<String, BTreeSet<String>> {
+    let mut nodes_by_target: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for number in first..first + 60 {
+        let name = format!("node-{}", number % 5);
+        cluster.submit(&name, number);
+        cluster.advance(STEP);
+        if let Some(target) = cluster.granted_target(&name, number) {
+            nodes_by_target.entry(target).or_default().insert(name.clone());
+        }
+        // Keeps some slots occupied, so that all targets are used.
+        if number >= first + 3 {
+            cluster.finish(&format!("node-{}", (number - 3) % 5), number - 3);
+        }
+    }
+    for number in first + 57..first + 60 {
+        cluster.finish(&format!("node-{}", number % 5), number);
+    }
+    nodes_by_target
+}
+
+/// Guards against nodes that send requests to a target of which another node knows that it leaves, also after the owner of the queue
+/// has died, and against a node that gets a target within the pause that the target has asked it for, while other nodes get it.
+#[gtest]
+fn closed_targets_are_not_granted_over_a_change_of_the_owner() {
+    let mut cluster = Cluster::new(5, 5);
+    let names: Vec<String> = (0..5).map(|index| format!("node-{index}")).collect();
+    let owner = cluster.owner();
+    let teller = names.iter().find(|name| **name != owner).expect("five nodes").clone();
+    let signals = [
+        ("target-0", TargetSignal { is_leaving: true, ..TargetSignal::default() }),
+        ("target-1", TargetSignal { pause: Duration::from_secs(9), ..TargetSignal::default() }),
+    ];
+    for (target, signal) in signals {
+        let target = target.to_string();
+        cluster.call(&teller, |node, now, actions| {
+            node.record_signal(now, (&target, 1), now, signal, actions);
+        });
+    }
+    for (round, first) in [(0, 100), (1, 200)] {
+        if round == 1 {
+            cluster.dead.insert(owner.clone());
+            let live: Vec<String> = names.iter().filter(|name| **name != owner).cloned().collect();
+            for name in &live {
+                cluster.call(name, |node, _, _| node.set_members(live.clone()));
+            }
+            cluster.advance(Duration::from_millis(300));
+        }
+        let grants = grants_by_target(&mut cluster, first);
+        expect_that!(grants.get("target-0"), none(), "round {round}");
+        let paused = grants.get("target-1").cloned().unwrap_or_default();
+        expect_that!(paused.contains(&teller), eq(false), "round {round}");
+        expect_that!(paused.is_empty(), eq(false), "round {round}");
+    }
+    cluster.advance(Duration::from_secs(9));
+    let granted = (300..304).filter_map(|number| {
+        cluster.submit(&teller, number);
+        cluster.advance(STEP);
+        cluster.granted_target(&teller, number)
+    });
+    expect_that!(granted.collect::<Vec<_>>(), contains(eq("target-1")));
+}
