--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -30,6 +30,9 @@
 /// Predicted wait in seconds for a refused attempt while no target is reachable.
 const UNREACHABLE_WAIT_S: f64 = 1.0;
 
+/// Upper bound of a predicted wait in seconds; longer than any caller waits.
+const MAX_PREDICTED_WAIT_S: f64 = 60.0;
+
 /// Counters of a dispatcher that the state dump shows.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct DispatcherSnapshot {
@@ -534,7 +537,7 @@
         for (key, rank, wait_s) in refused {
             self.queue.remove(&key);
             self.shares.record(now, rank, false);
-            let predicted_wait = Duration::from_secs_f64(wait_s.clamp(0.0, 60.0));
+            let predicted_wait = Duration::from_secs_f64(wait_s.clamp(0.0, MAX_PREDICTED_WAIT_S));
             let retry_after = predicted_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
             decisions.push(Decision::Refuse { key, retry_after, predicted_wait });
         }
--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -32,6 +32,28 @@
     buffer: BytesMut,
 }
 
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.gateway.count_caller_connections(-1);
+    }
+}
+
+/// Counts a request as open until it is dropped, also when its task panics.
+struct OpenRequest(Rc<Gateway>);
+
+impl OpenRequest {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        gateway.metrics.open_requests.inc();
+        Self(Rc::clone(gateway))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.metrics.open_requests.dec();
+    }
+}
+
 /// Result of waiting for the next request head.
 enum HeadReadResult {
     /// A valid head and the time at which its first byte was read.
@@ -48,6 +70,7 @@
         warn!(gateway.log, "setting the options of a caller's socket failed"; "error" => error.to_string());
     }
     let (read, write) = stream.into_split();
+    gateway.count_caller_connections(1);
     let mut connection = CallerConnection { gateway, read, write, buffer: BytesMut::new() };
     while connection.serve_next_request().await {}
 }
@@ -74,11 +97,8 @@
             Err(None) => return false,
         };
         let request = CallerRequest { head, body, arrived };
-        let gateway = Rc::clone(&self.gateway);
-        gateway.metrics.open_requests.inc();
-        let stays_open = self.process_and_respond(&request).await;
-        gateway.metrics.open_requests.dec();
-        stays_open
+        let _open_request = OpenRequest::new(&self.gateway);
+        self.process_and_respond(&request).await
     }
 
     /// Processes a request and writes its response; returns whether the connection stays open.
@@ -183,7 +203,9 @@
         let is_drained = self
             .gateway
             .stopping_since()
-            .is_some_and(|since| now.saturating_duration_since(since) > IDLE_DRAIN);
+            .is_some_and(|since| now.saturating_duration_since(since) > IDLE_DRAIN)
+            || (self.gateway.is_closing()
+                && now.saturating_duration_since(idle_since) >= IDLE_CHECK_INTERVAL);
         is_drained || now.saturating_duration_since(idle_since) > limits.idle_timeout
     }
 
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -558,7 +558,10 @@
         arrived,
         objective: arrived + Duration::from_millis(u64::from(job.objective_ms)),
         deadline: arrived + Duration::from_millis(u64::from(job.deadline_ms)),
-        relative_size: f64::from(job.relative_size),
+        // Arithmetic with a size that is not a number would spread to the predictions for all attempts.
+        relative_size: Some(f64::from(job.relative_size))
+            .filter(|size| size.is_finite())
+            .unwrap_or(1.0),
         prompt_tokens: job.prompt_tokens,
         shared_part: job.shared_part,
         zone: job.zone.clone(),
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -114,6 +114,9 @@
     retry_budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     stopping_since: Cell<Option<Instant>>,
     ending: watch::Sender<bool>,
+    /// True once the process accepts no callers' connections any more and closes those without a request.
+    closing: watch::Sender<bool>,
+    caller_connections: Cell<usize>,
     is_source_lost: Cell<bool>,
     next_number: Cell<JobNumber>,
     pub(super) started: Instant,
@@ -180,6 +183,8 @@
             retry_budgets: RefCell::default(),
             stopping_since: Cell::new(None),
             ending: watch::Sender::new(false),
+            closing: watch::Sender::new(false),
+            caller_connections: Cell::new(0),
             is_source_lost: Cell::new(true),
             started: now,
             phase: Cell::new(0),
@@ -357,6 +362,33 @@
         let _ = ending.wait_for(|is_ending| *is_ending).await;
     }
 
+    /// Stops accepting callers' connections and closes those without a request.
+    pub(crate) fn close_callers(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Returns whether callers' connections without a request are closed.
+    pub(crate) fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
+    /// Waits until callers' connections are closed.
+    pub(crate) async fn wait_for_closing(&self) {
+        let mut closing = self.closing.subscribe();
+        // The gateway owns the sender, so the wait can't fail while `self` is borrowed.
+        let _ = closing.wait_for(|is_closing| *is_closing).await;
+    }
+
+    /// Returns the number of open callers' connections.
+    pub(crate) fn caller_connections(&self) -> usize {
+        self.caller_connections.get()
+    }
+
+    /// Counts a caller's connection that was opened or closed.
+    pub(crate) fn count_caller_connections(&self, change: isize) {
+        self.caller_connections.set(self.caller_connections.get().saturating_add_signed(change));
+    }
+
     /// Returns the time at which the shutdown began, or `None` before it.
     pub(crate) fn stopping_since(&self) -> Option<Instant> {
         self.stopping_since.get()
--- a/crates/agatecourse-gateway/src/process/mod.rs
+++ b/crates/agatecourse-gateway/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod logger;
 mod members;
 mod metrics;
+mod panics;
 mod peer_documents;
 mod peer_message;
 pub(crate) mod peers;
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -1,9 +1,10 @@
+use super::panics::run_isolated;
 use super::peer_message::{MAX_MESSAGE_BYTES, PeerEnvelope};
 use super::{Gateway, GatewayError, Heartbeat, PeerMessage};
 use crate::connection::{CallError, SimpleClient};
 use crate::process::{Document, DocumentId};
 use agatecourse_types::NodeId;
-use slog::{info, warn};
+use slog::{error, info, warn};
 use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -80,17 +81,25 @@
         };
         let IpAddr::V4(ip) = address.ip() else { continue };
         gateway.metrics.peer_messages.with_label_values(&["received"]).inc();
-        let now = Instant::now();
-        match envelope.message {
-            PeerMessage::Heartbeat(heartbeat) => {
-                on_heartbeat(&gateway, now, &envelope.from, ip, &heartbeat);
-            }
-            PeerMessage::Crash(notice) => gateway.record_peer_crash(now, &envelope.from, &notice),
-            PeerMessage::Cleared { keys } => {
-                gateway.record_peer_cleared(now, &envelope.from, &keys);
-            }
-            message => gateway.on_queue_message(now, &envelope.from, message),
+        // A message that triggers a fault must not end the task that receives the messages of all nodes.
+        let from = envelope.from.clone();
+        if let Err(panic) = run_isolated(|| handle_message(&gateway, ip, envelope)) {
+            error!(gateway.log, "handling a message failed"; "from" => from, "panic" => panic);
+        }
+    }
+}
+
+fn handle_message(gateway: &Rc<Gateway>, ip: Ipv4Addr, envelope: PeerEnvelope) {
+    let now = Instant::now();
+    match envelope.message {
+        PeerMessage::Heartbeat(heartbeat) => {
+            on_heartbeat(gateway, now, &envelope.from, ip, &heartbeat);
+        }
+        PeerMessage::Crash(notice) => gateway.record_peer_crash(now, &envelope.from, &notice),
+        PeerMessage::Cleared { keys } => {
+            gateway.record_peer_cleared(now, &envelope.from, &keys);
         }
+        message => gateway.on_queue_message(now, &envelope.from, message),
     }
 }
 
--- a/crates/agatecourse-gateway/src/process/run.rs
+++ b/crates/agatecourse-gateway/src/process/run.rs
@@ -15,6 +15,10 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Time before the exit at which requests that are still open are ended, so that their responses can be sent.
 const FINAL_RESPONSE_MARGIN: Duration = Duration::from_millis(300);
+/// Period in which a node that shuts down checks whether it may exit.
+const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Longest wait for callers' connections to close after all requests have ended; a caller may have sent a part of a request.
+const MAX_CLOSING_TIME: Duration = Duration::from_secs(1);
 /// Read and write timeout of a request on the ready, operator or peer address.
 const INTERNAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Period of closing idle connections to targets.
@@ -66,7 +70,7 @@
     subscribe_pruning(&gateway);
     peers::send_heartbeats(&gateway, Instant::now());
     let timers = Rc::clone(&gateway);
-    actix_rt::spawn(async move { timers.timers.run().await });
+    actix_rt::spawn(async move { timers.timers.run(&timers.log).await });
     accept_callers(&gateway, callers);
     info!(gateway.log, "node started"; "version" => env!("CARGO_PKG_VERSION"), "zone" => &settings.zone,
         "callers" => settings.caller_address.to_string(), "start_ms" => started.elapsed().as_millis() as u64);
@@ -90,13 +94,23 @@
     info!(gateway.log, "node stops"; "open_requests" => open, "grace_ms" => gateway.settings.grace.as_millis() as u64);
     let end = now + gateway.settings.grace.saturating_sub(EXIT_MARGIN);
     let shortest = MIN_DRAIN_TIME.min(gateway.settings.grace / 2);
+    let mut closing_since = None;
     loop {
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        tokio::time::sleep(DRAIN_CHECK_PERIOD).await;
         let now_open = gateway.metrics.open_requests.get();
-        let is_drained = now.elapsed() >= shortest && now_open == 0;
         if Instant::now() + FINAL_RESPONSE_MARGIN >= end {
             gateway.end_requests();
         }
+        // Requests may still arrive: first no connections are accepted, then those without a request are closed, and only then the process
+        // exits, so that none is cut off after it was read.
+        if now.elapsed() >= shortest && now_open == 0 && closing_since.is_none() {
+            gateway.close_callers();
+            closing_since = Some(Instant::now());
+        }
+        let is_drained = closing_since.is_some_and(|since| {
+            now_open == 0
+                && (gateway.caller_connections() == 0 || since.elapsed() >= MAX_CLOSING_TIME)
+        });
         if is_drained || Instant::now() >= end {
             info!(gateway.log, "node stopped"; "open_requests" => now_open,
                 "elapsed_ms" => now.elapsed().as_millis() as u64);
@@ -120,7 +134,13 @@
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                // Connections that wait to be accepted come first, because closing the listener resets them.
+                () = gateway.wait_for_closing() => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     actix_rt::spawn(serve_caller(Rc::clone(&gateway), stream));
                 }
--- a/crates/agatecourse-gateway/src/process/timer_service.rs
+++ b/crates/agatecourse-gateway/src/process/timer_service.rs
@@ -1,3 +1,5 @@
+use super::panics::run_isolated;
+use slog::{Logger, error};
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
@@ -38,25 +40,30 @@
         self.subscriptions.borrow_mut().push(subscription);
     }
 
-    /// Calls the due callbacks. Subscriptions that a callback adds are first checked in the next call.
-    pub fn notify_due(&self, now: Instant) {
+    /// Calls the due callbacks; returns the messages of those that panicked, which are called again when they are next due. Subscriptions that a
+    /// callback adds are first checked in the next call.
+    pub fn notify_due(&self, now: Instant) -> Vec<String> {
+        let mut panics = Vec::new();
         let mut running = self.subscriptions.take();
         for subscription in &mut running {
             if subscription.due <= now {
                 subscription.due = now + subscription.period;
-                (subscription.notify)(now);
+                panics.extend(run_isolated(|| (subscription.notify)(now)).err());
             }
         }
         let mut added = self.subscriptions.borrow_mut();
         running.append(&mut added);
         *added = running;
+        panics
     }
 
-    /// Calls due callbacks until the future is dropped.
-    pub async fn run(&self) {
+    /// Calls due callbacks until the future is dropped; logs those that panic.
+    pub async fn run(&self, log: &Logger) {
         loop {
             tokio::time::sleep(RESOLUTION).await;
-            self.notify_due(Instant::now());
+            for panic in self.notify_due(Instant::now()) {
+                error!(log, "periodic work failed"; "panic" => panic);
+            }
         }
     }
 }
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -36,7 +36,11 @@
     wants_stream: bool,
     sent: &mut bool,
 ) -> AttemptEnd {
-    let pooled = gateway.pool.borrow_mut().take(&target.id, Instant::now());
+    // Without an id, late bytes of an earlier response could not be told from the response to this request, nor its own late bytes from the
+    // response to the next one.
+    let has_id = request.id(&gateway.header_names).is_some();
+    let pooled =
+        has_id.then(|| gateway.pool.borrow_mut().take(&target.id, Instant::now())).flatten();
     let mut connection = match pooled {
         Some(connection) => connection,
         None => match TargetConnection::connect(target.address).await {
@@ -61,7 +65,7 @@
     )
     .await
     {
-        Ok(head) => head,
+        Ok(head) => ResponseHead { closes: head.closes || !has_id, ..head },
         Err(error) => {
             gateway.pool.borrow_mut().remove_target(&target.id);
             return AttemptEnd::Lost { reason: error.to_string() };
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -17,5 +17,5 @@
 pub(crate) use answer::{Reply, error_response, serialize_response};
 pub(crate) use attempt::parse_seconds;
 pub(crate) use caller_request::CallerRequest;
-pub use event_splitter::{EventSplitter, EventTooLongError};
+pub use event_splitter::{EventError, EventSplitter};
 pub(crate) use process_request::process_request;
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -5,7 +5,7 @@
 use super::attempt_guard::AttemptGuard;
 use super::crash_check::{check_for_crash, has_ended};
 use super::outbound::outbound_request;
-use super::relay::{Relay, RelayEnd};
+use super::relay::{Relay, RelayEnd, RelayOptions};
 use super::{CallerRequest, Reply, serialize_response};
 use crate::connection::{BodyFraming, ResponseHead, TargetConnection};
 use crate::process::{Gateway, Placement, WireJob};
@@ -38,6 +38,9 @@
 /// Timeout of an attempt of a repeatable request that may be retried, in multiples of the route's latency objective.
 const RESPONSE_TIMEOUT_OBJECTIVES: u32 = 2;
 
+/// Part of a caller's patience for which a stream without a complete event is left alone; the rest is for the target that resumes it.
+const STALL_PATIENCE_RATIO: f64 = 0.6;
+
 /// State of an admitted request across its attempts.
 struct RequestState<'a> {
     gateway: &'a Rc<Gateway>,
@@ -475,17 +478,24 @@
     ) -> NextStep {
         let gateway = self.gateway;
         let keys = &self.admitted.suspect_keys;
+        let options = RelayOptions {
+            header_names: &gateway.header_names,
+            closes: self.closes,
+            stall_limit: self.stall_limit(),
+        };
         let mut end = self
             .relay
             .forward_stream(
                 head,
                 &mut connection,
                 caller,
-                &gateway.header_names,
-                self.closes,
+                options,
                 || gateway.record_sound(Instant::now(), keys),
+                || gateway.try_retry(&self.admitted.service),
             )
             .await;
+        let is_stalled = matches!(end, RelayEnd::Stalled { .. });
+
         if matches!(end, RelayEnd::Complete) {
             end = if head.framing == BodyFraming::UntilClose && has_ended(gateway, target).await {
                 RelayEnd::TargetFailed { reason: "target ended with the connection".to_string() }
@@ -509,7 +519,8 @@
             RelayEnd::CallerDisconnected => NextStep::Reply(Reply::StreamBroken {
                 reason: "writing to the caller failed".to_string(),
             }),
-            RelayEnd::TargetFailed { reason } => {
+            RelayEnd::TargetFailed { .. } | RelayEnd::Stalled { .. } => {
+                let reason = end.to_string();
                 drop(connection);
                 gateway.pool.borrow_mut().remove_target(&target.id);
                 warn!(gateway.log, "stream broke"; "request" => self.request.id(&gateway.header_names),
@@ -519,7 +530,9 @@
                 } else {
                     self.end_lost_run(target, guard).await;
                 }
-                if self.admitted.route.kind.is_repeatable() && self.try_take_retry() {
+                // A stalled stream is given up only after the retry was taken.
+                if is_stalled || (self.admitted.route.kind.is_repeatable() && self.try_take_retry())
+                {
                     return NextStep::Retry;
                 }
                 NextStep::Reply(self.not_placed_reply(
@@ -531,6 +544,13 @@
         }
     }
 
+    /// Returns the time without a complete event after which another target may resume the stream, `None` if none may.
+    fn stall_limit(&self) -> Option<Duration> {
+        let route = &self.admitted.route;
+        (route.kind.is_repeatable() && self.has_attempts_left())
+            .then(|| route.stream_patience().mul_f64(STALL_PATIENCE_RATIO))
+    }
+
     /// Returns the hash of the route name, which identifies requests of the same kind.
     fn request_kind(&self) -> u64 {
         stable_hash(&[self.admitted.route.name.as_bytes()])
--- a/crates/agatecourse-gateway/src/version/deployment.rs
+++ b/crates/agatecourse-gateway/src/version/deployment.rs
@@ -6,6 +6,13 @@
 /// Name by which routes and targets refer to a service.
 pub type ServiceId = String;
 
+/// Shortest time without an event after which callers give a stream up.
+const MIN_STREAM_PATIENCE: Duration = Duration::from_secs(2);
+/// Latency objectives of the route for which callers wait for an event.
+const PATIENCE_OBJECTIVES: u32 = 4;
+/// Longest pauses in time for which callers wait for an event.
+const PATIENCE_EVENT_GAPS: u32 = 8;
+
 /// Whether requests of a route may run more than once, and whether their responses are event streams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -46,6 +53,8 @@
     pub timeout: Duration,
     /// Latency objective of the response or, for a stream, of its first event.
     pub objective: Duration,
+    /// Longest pause between two events with which a stream meets its objective; zero if the route states none.
+    pub event_gap: Duration,
     /// Priority; 0 is served first.
     pub priority: u32,
     /// True when callers need no API key.
@@ -56,6 +65,15 @@
     pub split: SmallVec<[(ServiceId, u32); 2]>,
 }
 
+impl Route {
+    /// Returns how long callers wait for the next event of a stream before they give it up.
+    pub fn stream_patience(&self) -> Duration {
+        MIN_STREAM_PATIENCE
+            .max(self.objective * PATIENCE_OBJECTIVES)
+            .max(self.event_gap * PATIENCE_EVENT_GAPS)
+    }
+}
+
 /// A service that routes may refer to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Service {
--- a/crates/agatecourse-gateway/tests/coordinator.rs
+++ b/crates/agatecourse-gateway/tests/coordinator.rs
@@ -451,3 +451,39 @@
     });
     expect_that!(granted.collect::<Vec<_>>(), contains(eq("target-1")));
 }
+
+/// Guards against an attempt of a node that was silent for a while which runs a second time, or is given up, once the owner of its queue has
+/// freed its slot: the attempt was placed once, keeps running, and its slot is counted again when the node reports.
+#[gtest]
+fn run_of_a_silent_node_is_neither_repeated_nor_given_up() {
+    let mut cluster = Cluster::new(4, 2);
+    let owner = cluster.owner();
+    let silent = (0..4).map(|index| format!("node-{index}")).find(|name| *name != owner);
+    let silent = silent.expect("four nodes");
+    cluster.submit(&silent, 50);
+    cluster.advance(STEP);
+    expect_that!(cluster.granted_target(&silent, 50), some(anything()));
+    cluster.dead.insert(silent.clone());
+    cluster.advance(Duration::from_secs(3));
+    expect_that!(cluster.nodes[&owner].snapshot()["drafts/0"].running, eq(0));
+    cluster.dead.remove(&silent);
+    cluster.advance(Duration::from_secs(1));
+    expect_that!(cluster.placed[&(silent.clone(), 50)].len(), eq(1));
+    expect_that!(cluster.nodes[&silent].counts(), eq((0, 1)));
+    expect_that!(cluster.nodes[&owner].snapshot()["drafts/0"].running, eq(1));
+}
+
+/// Guards against a job whose size is not a number: it must not spread to the predictions of the queue, or end the task that receives
+/// messages.
+#[gtest]
+fn job_with_a_size_that_is_not_a_number_is_refused_like_others() {
+    let mut cluster = Cluster::new(3, 1);
+    for number in 1..40 {
+        let size = if number % 2 == 0 { f32::NAN } else { f32::INFINITY };
+        cluster.submit_job("node-1", number, WireJob { relative_size: size, ..wire_job() });
+    }
+    cluster.advance(Duration::from_millis(100));
+    expect_that!(cluster.granted_target("node-1", 1), some(anything()));
+    let placed = (1..40).filter(|number| cluster.placed.contains_key(&("node-1".into(), *number)));
+    expect_that!(placed.count(), gt(1));
+}
