perf(core,gateway,platform): one queue per service, owners by capacity, prompt index, heartbeats that scale

Cause: a service of more than 32 targets was cut into isolated queues of unequal capacity, which refused and held requests while others had free targets. Placement looked at the first part of a prompt only. From 334 nodes on, a sound node was suspected between two heartbeats, and a third of the bytes between nodes listed other nodes. Owners were chosen by hash alone, also among the smallest VMs. Ruled out: overflow between queues, because each hop costs a round trip and rank order would hold within one queue only. Change: a queue takes up to 256 targets. An index of all prompt parts weighs the tokens that a target need not read again. Offered work is summed by rank and the target of a run is found by its key, in place of scans. Time-outs follow the period of heartbeats and statuses, which grow with the number of nodes. The live nodes of the highest capacity class own the queues.

--- a/crates/agatecourse-core/benches/dispatch.rs
+++ b/crates/agatecourse-core/benches/dispatch.rs
@@ -2,7 +2,7 @@
 //! of targets in a queue.
 
 use agatecourse_core::request::dispatch::{
-    Decision, DispatchTarget, Dispatcher, Job, JobKey, RunEnd, RunReport,
+    Decision, DispatchTarget, Dispatcher, Job, JobKey, PromptPart, RunEnd, RunReport,
 };
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use smallvec::SmallVec;
@@ -55,7 +55,10 @@
             deadline: self.now + Duration::from_hours(1),
             relative_size: 1.0,
             prompt_tokens: 3_000,
-            shared_part: number % 40,
+            prompt_parts: SmallVec::from_slice(&[
+                PromptPart { part: number % 40, tokens: 60 },
+                PromptPart { part: 1_000 + number, tokens: 2_940 },
+            ]),
             zone: "zone-1".to_string(),
             excluded: SmallVec::new(),
             is_retry: false,
--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -1,19 +1,24 @@
 use super::dispatch_queue::DispatchQueue;
+use super::offered_load::OfferedLoad;
+use super::prefix_index::{PrefixIndex, TargetNumber};
 use super::served_shares::ServedShares;
-use super::service_profile::{ServiceProfile, UNKNOWN_RUN_S};
+use super::service_profile::ServiceProfile;
 use super::target_view::{Run, TargetView};
 use super::{Decision, DispatchTarget, Job, JobKey, JobNumber, NamedLimit, RunEnd, RunReport};
 use crate::request::SuspectKey;
 use agatecourse_types::{NodeId, TargetId};
 use serde::Serialize;
 use smallvec::SmallVec;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// Score added for a target in another availability zone, in units of one mean run; small enough to break ties only.
 const OTHER_ZONE_PENALTY: f64 = 0.05;
-/// Score subtracted for a target that has the request's shared prompt prefix in its cache.
-const CACHED_PREFIX_BONUS: f64 = 0.15;
+/// Score subtracted for a target that keeps the first part of the request's prompt, however short it is, because users pay for each part
+/// that is read again.
+const KEPT_PART_BONUS: f64 = 0.15;
+/// Score subtracted for a target that keeps the whole prompt, and in proportion for a part of it; about a whole target's load.
+const KEPT_PROMPT_BONUS: f64 = 0.5;
 /// Score added per unit by which a target's failure share exceeds the mean of the targets.
 const FAILURE_PENALTY: f64 = 4.0;
 /// Lower bound of the retry delay sent to a refused caller.
@@ -21,8 +26,6 @@
 /// Upper bound of the retry delay sent to a refused caller; callers wait at most a third of their remaining time.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 
-/// Window over which the rate of arriving work is measured; about the time in which a burst reaches its peak.
-const OFFER_WINDOW: Duration = Duration::from_secs(1);
 /// Share of a stream's run time that passes before its first event; about a tenth in the users' load profiles.
 const FIRST_EVENT_SHARE: f64 = 0.1;
 /// A starved rank keeps one queued attempt per this many slots, at any load.
@@ -33,6 +36,9 @@
 /// Upper bound of a predicted wait in seconds; longer than any caller waits.
 const MAX_PREDICTED_WAIT_S: f64 = 60.0;
 
+/// Time for which the sum of the running attempts' work is used again; short beside any run.
+const RUNNING_WORK_LIFETIME: Duration = Duration::from_millis(5);
+
 /// Counters of a dispatcher that the state dump shows.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct DispatcherSnapshot {
@@ -46,14 +52,6 @@
     pub slots: u32,
 }
 
-/// Expected run time of a submitted attempt, to measure the rate of arriving work.
-#[derive(Debug, Clone, Copy)]
-struct OfferedWork {
-    at: Instant,
-    rank: u32,
-    run_s: f64,
-}
-
 /// Decides for one service which waiting attempt goes to which target, which waits and which is refused.
 #[derive(Debug, Clone, Default)]
 pub struct Dispatcher {
@@ -61,7 +59,14 @@
     queue: DispatchQueue,
     profile: ServiceProfile,
     shares: ServedShares,
-    offers: VecDeque<OfferedWork>,
+    offers: OfferedLoad,
+    prefixes: PrefixIndex,
+    /// Target of each run.
+    run_targets: HashMap<JobKey, TargetId>,
+    /// Number of the next target or process.
+    next_target_number: TargetNumber,
+    /// Work of the running attempts and the time at which it was summed up.
+    running_work: Option<(Instant, f64)>,
     /// Start of the present overload for each rank whose arriving work exceeds the capacity of the targets.
     overloaded_since: BTreeMap<u32, Instant>,
 }
@@ -81,18 +86,22 @@
     ) {
         let known: BTreeSet<TargetId> = targets.iter().map(|target| target.id.clone()).collect();
         self.targets.retain(|id, _| known.contains(id));
+        self.run_targets.retain(|_, target| known.contains(target));
         for spec in targets {
             match self.targets.get_mut(&spec.id) {
                 Some(view) if view.spec.started_unix_ms == spec.started_unix_ms => view.spec = spec,
                 // Nothing that was learned of an earlier process of the target holds for this one, but its runs stay counted
                 // until their nodes report their ends.
                 Some(view) => {
+                    self.next_target_number += 1;
                     let runs = std::mem::take(&mut view.runs);
-                    *view = TargetView::new(spec);
+                    *view = TargetView::new(spec, self.next_target_number);
                     view.runs = runs;
                 }
                 None => {
-                    self.targets.insert(spec.id.clone(), TargetView::new(spec));
+                    self.next_target_number += 1;
+                    let view = TargetView::new(spec, self.next_target_number);
+                    self.targets.insert(view.spec.id.clone(), view);
                 }
             }
         }
@@ -110,7 +119,7 @@
         }
         let key = job.key.clone();
         let run_s = self.profile.expected_s(job.kind, job.relative_size);
-        self.record_offer(OfferedWork { at: now, rank: job.rank, run_s });
+        self.offers.record(now, job.rank, run_s);
         self.queue.push(job);
         self.assign_free_slots(now, decisions);
         if self.queue.contains(&key) {
@@ -127,15 +136,16 @@
         decisions: &mut Vec<Decision>,
     ) {
         self.queue.remove(key);
-        for view in self.targets.values_mut() {
-            let Some(run) = view.runs.remove(key) else { continue };
+        let target = self.run_targets.remove(key);
+        if let Some(view) = target.and_then(|target| self.targets.get_mut(&target))
+            && let Some(run) = view.runs.remove(key)
+        {
             if report.end == RunEnd::Answered {
                 let slowness = view.slowness;
                 view.learn_slowness(run.expected_s, report.elapsed);
                 self.profile.learn(run.kind, run.relative_size, slowness, report.elapsed);
             }
             view.record_end(now, report.end);
-            break;
         }
         self.assign_free_slots(now, decisions);
     }
@@ -165,6 +175,7 @@
                 key.node != *node || numbers.contains(&key.number) || run.granted > settled_before
             });
         }
+        self.forget_missing_runs(node);
         for (number, target) in running {
             let key = JobKey { node: node.clone(), number: *number };
             if self.target_of(&key).is_none()
@@ -177,12 +188,21 @@
                     expected_s: 0.0,
                     suspects: SmallVec::new(),
                 };
+                self.run_targets.insert(key.clone(), target.clone());
                 view.runs.insert(key, run);
             }
         }
         self.assign_free_slots(now, decisions);
     }
 
+    /// Removes the runs of a node from the index that its targets do not have any more.
+    fn forget_missing_runs(&mut self, node: &NodeId) {
+        let targets = &self.targets;
+        self.run_targets.retain(|key, target| {
+            key.node != *node || targets.get(target).is_some_and(|view| view.runs.contains_key(key))
+        });
+    }
+
     /// Takes over a limit that a target has named to a node.
     pub fn set_limit(
         &mut self,
@@ -250,6 +270,7 @@
         for view in self.targets.values_mut() {
             view.runs.retain(|key, _| key.node != *node);
         }
+        self.forget_missing_runs(node);
         self.assign_free_slots(now, decisions);
     }
 
@@ -278,8 +299,7 @@
     }
 
     fn target_of(&self, key: &JobKey) -> Option<TargetId> {
-        let view = self.targets.values().find(|view| view.runs.contains_key(key))?;
-        Some(view.spec.id.clone())
+        self.run_targets.get(key).cloned()
     }
 
     /// Assigns free slots to waiting attempts.
@@ -330,43 +350,11 @@
                 .any(|run| run.is_trial(now) && shares_suspect(run))
     }
 
-    fn record_offer(&mut self, offer: OfferedWork) {
-        self.offers.push_back(offer);
-        while self
-            .offers
-            .front()
-            .is_some_and(|first| offer.at.saturating_duration_since(first.at) > OFFER_WINDOW)
-        {
-            self.offers.pop_front();
-        }
-    }
-
-    /// Returns the rate of arriving work of a rank and all more urgent ranks, in slot-seconds per second.
-    fn offered_rate(&self, now: Instant, rank: u32) -> f64 {
-        let recent = self.offers.iter().filter(|offer| {
-            offer.rank <= rank && now.saturating_duration_since(offer.at) <= OFFER_WINDOW
-        });
-        recent.map(|offer| offer.run_s).sum::<f64>() / OFFER_WINDOW.as_secs_f64()
-    }
-
-    /// Returns the mean expected run time of the work that arrived lately.
-    fn mean_offered_run_s(&self, now: Instant) -> f64 {
-        let recent = || {
-            self.offers
-                .iter()
-                .filter(|offer| now.saturating_duration_since(offer.at) <= OFFER_WINDOW)
-        };
-        match recent().count() {
-            0 => UNKNOWN_RUN_S,
-            count => recent().map(|offer| offer.run_s).sum::<f64>() / count as f64,
-        }
-    }
-
     /// Updates for each queued rank since when the work of this and all more urgent ranks exceeds the capacity.
     fn record_overload(&mut self, now: Instant, capacity: f64) {
         let ranks: BTreeSet<u32> = self.queue.iter().map(|job| job.rank).collect();
         for rank in ranks {
-            if self.offered_rate(now, rank) > capacity {
+            if self.offers.rate(rank) > capacity {
                 self.overloaded_since.entry(rank).or_insert(now);
             } else {
                 self.overloaded_since.remove(&rank);
@@ -378,7 +366,7 @@
     fn expected_overload_s(&self, now: Instant, rank: u32, capacity: f64) -> f64 {
         let Some(since) = self.overloaded_since.get(&rank) else { return 0.0 };
         let remaining_s = now.saturating_duration_since(*since).as_secs_f64();
-        let excess = (self.offered_rate(now, rank) - capacity).max(0.0);
+        let excess = (self.offers.rate(rank) - capacity).max(0.0);
         remaining_s + remaining_s * excess / capacity
     }
 
@@ -386,6 +374,8 @@
     fn choose_target(&self, now: Instant, job: &Job) -> Option<TargetId> {
         let mean_failure = self.targets.values().map(|view| view.failure_share).sum::<f64>()
             / self.targets.len().max(1) as f64;
+        let kept_tokens = self.prefixes.kept_tokens(now, &job.prompt_parts);
+        let prompt_tokens: u32 = job.prompt_parts.iter().map(|part| part.tokens).sum();
         let score = |view: &TargetView| {
             let load = view.runs.len() as f64 / f64::from(view.spec.slots.max(1));
             let mut score = view.slowness * (1.0 + 0.5 * load);
@@ -393,12 +383,25 @@
             if view.spec.zone != job.zone {
                 score += OTHER_ZONE_PENALTY;
             }
-            if view.has_cached_prefix(now, job.shared_part) {
-                score -= CACHED_PREFIX_BONUS;
+            if let Some(tokens) = kept_tokens.get(&view.number) {
+                let kept_share = f64::from(*tokens) / f64::from(prompt_tokens.max(1));
+                score -= KEPT_PART_BONUS + KEPT_PROMPT_BONUS * kept_share;
             }
             score
         };
-        self.targets
+        // Targets that were unreachable come last, so that a request which can't be retried doesn't probe whether they are back while
+        // another target is free. A request that may crash its target runs where the fewest others run, and others avoid that
+        // target meanwhile.
+        let order = |view: &TargetView| {
+            let endangered = if job.suspects.is_empty() {
+                usize::from(view.has_trial(now))
+            } else {
+                view.runs.len()
+            };
+            (u8::from(!view.is_reachable()), endangered, score(view))
+        };
+        let candidates = self
+            .targets
             .values()
             .filter(|view| view.free_slots(now) > 0 && !job.excluded.contains(&view.spec.id))
             .filter(|view| view.node_pause_end(now, &job.key.node).is_none())
@@ -406,22 +409,10 @@
             .filter(|view| {
                 job.avoided_version.is_empty() || view.spec.version != job.avoided_version
             })
-            // Targets that were unreachable come last, so that a request which can't be retried doesn't probe whether they
-            // are back while another target is free. A request that may crash its target runs where the fewest others run, and
-            // others avoid that target meanwhile.
-            .min_by(|a, b| {
-                let key = |view: &TargetView| {
-                    let endangered = if job.suspects.is_empty() {
-                        usize::from(view.has_trial(now))
-                    } else {
-                        view.runs.len()
-                    };
-                    (u8::from(!view.is_reachable()), endangered, score(view))
-                };
-                let (a, b) = (key(a), key(b));
-                (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
-            })
-            .map(|view| view.spec.id.clone())
+            .map(|view| (order(view), &view.spec.id));
+        let best = candidates
+            .min_by(|(a, _), (b, _)| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+        best.map(|(_, target)| target.clone())
     }
 
     /// Returns the time in seconds until the first target takes requests of a node again; zero if one does.
@@ -446,7 +437,8 @@
             };
             view.runs.insert(job.key.clone(), run);
             view.take_token(now);
-            view.record_cached_prefix(now, job.shared_part);
+            self.run_targets.insert(job.key.clone(), target.clone());
+            self.prefixes.record(now, view.number, &job.prompt_parts);
         }
     }
 
@@ -466,7 +458,8 @@
         if self.queue.len() == 0 {
             return;
         }
-        let mean_run_s = self.mean_offered_run_s(now);
+        self.offers.expire(now);
+        let mean_run_s = self.offers.mean_run_s();
         let capacity: f64 = self.targets.values().map(|view| view.capacity(now, mean_run_s)).sum();
         if capacity <= 0.0 {
             self.refuse_expiring_jobs(now, decisions);
@@ -544,8 +537,14 @@
     }
 
     /// Returns half of the expected remaining time of the running attempts, in slot-seconds on a target of mean speed.
-    fn remaining_run_s(&self, now: Instant) -> f64 {
-        self.targets
+    fn remaining_run_s(&mut self, now: Instant) -> f64 {
+        if let Some((at, sum)) = self.running_work
+            && now.saturating_duration_since(at) < RUNNING_WORK_LIFETIME
+        {
+            return sum;
+        }
+        let sum = self
+            .targets
             .values()
             .flat_map(|view| view.runs.values().map(move |run| (view.slowness, run)))
             .map(|(slowness, run)| {
@@ -555,6 +554,8 @@
                 let expected_s = if run.expected_s > 0.0 { run.expected_s } else { 0.5 };
                 ((expected_s * slowness - elapsed_s) / slowness).max(expected_s * 0.1) * 0.5
             })
-            .sum()
+            .sum();
+        self.running_work = Some((now, sum));
+        sum
     }
 }
--- a/crates/agatecourse-core/src/request/dispatch/job.rs
+++ b/crates/agatecourse-core/src/request/dispatch/job.rs
@@ -1,3 +1,4 @@
+use super::PromptParts;
 use crate::request::SuspectKey;
 use agatecourse_types::{NodeId, TargetId, VersionId};
 use serde::{Deserialize, Serialize};
@@ -35,8 +36,8 @@
     pub relative_size: f64,
     /// Tokens that the prompt holds, 0 for plain requests.
     pub prompt_tokens: u32,
-    /// Hash of the prompt prefix that other requests share; 0 if there is none.
-    pub shared_part: u64,
+    /// Parts of the prompt, which targets keep for later prompts that begin with them; empty for plain requests.
+    pub prompt_parts: PromptParts,
     /// Availability zone of the node, to prefer near targets.
     pub zone: String,
     /// Targets that already failed this request.
--- a/crates/agatecourse-core/src/request/dispatch/mod.rs
+++ b/crates/agatecourse-core/src/request/dispatch/mod.rs
@@ -7,6 +7,8 @@
 mod dispatch_queue;
 mod dispatcher;
 mod job;
+mod offered_load;
+mod prefix_index;
 mod run_report;
 mod served_shares;
 mod service_profile;
@@ -15,6 +17,7 @@
 
 pub use dispatcher::{Dispatcher, DispatcherSnapshot};
 pub use job::{Decision, Job, JobKey, JobNumber};
+pub use prefix_index::{PromptPart, PromptParts};
 pub use run_report::{RunEnd, RunReport};
 pub use target_signals::{Closure, NamedLimit, SignalChange, TargetSignal, TargetSignals};
 pub use target_view::DispatchTarget;
--- a/crates/agatecourse-core/src/request/dispatch/target_view.rs
+++ b/crates/agatecourse-core/src/request/dispatch/target_view.rs
@@ -1,3 +1,4 @@
+use super::prefix_index::TargetNumber;
 use super::{JobKey, NamedLimit, RunEnd};
 use crate::request::{SuspectKey, TokenBucket};
 use agatecourse_types::{NodeId, TargetId};
@@ -13,11 +14,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause between attempts at an unreachable target.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
-/// Upper bound of the shared prompt prefixes tracked for each target.
-const MAX_CACHED_PREFIXES: usize = 256;
-/// Time since its last use for which an engine is assumed to keep a prompt prefix in its cache. After it, reading the prefix
-/// again is no longer penalised, so the target gets no score bonus for it.
-const PREFIX_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Time within which a run shows whether it crashes its target; longer than the first event of a stream takes under load.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -72,7 +68,8 @@
     pub(super) failure_share: f64,
     paused_until: Option<Instant>,
     pause: Duration,
-    cached_prefixes: BTreeMap<u64, Instant>,
+    /// Number of the target's process, under which the index of prompt parts knows it.
+    pub(super) number: TargetNumber,
     /// Newest limit that the target has named to a node.
     limit: Option<NamedLimit>,
     /// Enforces the limit; `None` while there is none.
@@ -84,7 +81,7 @@
 }
 
 impl TargetView {
-    pub(super) fn new(spec: DispatchTarget) -> Self {
+    pub(super) fn new(spec: DispatchTarget, number: TargetNumber) -> Self {
         Self {
             spec,
             runs: BTreeMap::new(),
@@ -92,7 +89,7 @@
             failure_share: 0.0,
             paused_until: None,
             pause: Duration::ZERO,
-            cached_prefixes: BTreeMap::new(),
+            number,
             limit: None,
             bucket: None,
             is_leaving: false,
@@ -188,27 +185,6 @@
         self.pause.is_zero()
     }
 
-    pub(super) fn has_cached_prefix(&self, now: Instant, part: u64) -> bool {
-        part != 0
-            && self
-                .cached_prefixes
-                .get(&part)
-                .is_some_and(|used| now.saturating_duration_since(*used) < PREFIX_LIFETIME)
-    }
-
-    pub(super) fn record_cached_prefix(&mut self, now: Instant, part: u64) {
-        if part == 0 {
-            return;
-        }
-        if self.cached_prefixes.len() >= MAX_CACHED_PREFIXES {
-            self.cached_prefixes
-                .retain(|_, used| now.saturating_duration_since(*used) < PREFIX_LIFETIME);
-        }
-        if self.cached_prefixes.len() < MAX_CACHED_PREFIXES {
-            self.cached_prefixes.insert(part, now);
-        }
-    }
-
     /// Updates the failure share and the pause by the end of a run.
     pub(super) fn record_end(&mut self, now: Instant, end: RunEnd) {
         let failed = match end {
--- a/crates/agatecourse-core/tests/crashing_parts.rs
+++ b/crates/agatecourse-core/tests/crashing_parts.rs
@@ -244,7 +244,7 @@
             deadline: self.now + Duration::from_secs(8),
             relative_size: 1.0,
             prompt_tokens: 0,
-            shared_part: 0,
+            prompt_parts: SmallVec::new(),
             zone: "a".to_string(),
             excluded: SmallVec::new(),
             is_retry: false,
--- a/crates/agatecourse-core/tests/dispatcher/main.rs
+++ b/crates/agatecourse-core/tests/dispatcher/main.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod load_patterns;
+mod prompt_parts;
 mod simulation;
 mod target_limits;
 mod target_signals;
--- a/crates/agatecourse-core/tests/dispatcher/simulation.rs
+++ b/crates/agatecourse-core/tests/dispatcher/simulation.rs
@@ -204,7 +204,7 @@
         deadline: now + kind.deadline,
         relative_size: 1.0,
         prompt_tokens: 0,
-        shared_part: 0,
+        prompt_parts: SmallVec::new(),
         zone: "a".to_string(),
         excluded: SmallVec::new(),
         is_retry: false,
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -3,21 +3,22 @@
 mod submission;
 mod target_signals;
 
-use super::{PeerMessage, WireJob};
+use super::{NodeCapacity, PeerMessage, WireJob};
 use agatecourse_core::request::SuspectKey;
 use agatecourse_core::request::dispatch::{
     Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber, RunEnd,
     RunReport, TargetSignals,
 };
-use agatecourse_types::{NodeId, TargetId, rank_by_rendezvous, stable_hash};
+use agatecourse_types::{NodeId, TargetId, rendezvous_owner, stable_hash};
 pub use coordinator_action::CoordinatorAction;
 pub use placement::Placement;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 pub use submission::Submission;
 
-/// Maximum number of targets per queue; the queues of a larger service are spread over several owners to bound the load of one.
-const TARGETS_PER_QUEUE: usize = 32;
+/// Maximum number of targets per queue; the queues of a larger service are spread over several owners to bound the load of one. An attempt
+/// waits in one queue even if another has free targets, so a service has as few queues as its owners can carry.
+const TARGETS_PER_QUEUE: usize = 256;
 /// Retransmission timeout of a submission; several round trips between zones.
 const RESEND_AFTER: Duration = Duration::from_millis(40);
 /// Consecutive unanswered submissions after which the owner is suspected to be unreachable.
@@ -26,10 +27,14 @@
 const SUSPICION_PERIOD: Duration = Duration::from_millis(1_500);
 /// Time after which an acknowledged attempt is submitted again, in case the decision was lost.
 const CONFIRM_AFTER: Duration = Duration::from_millis(150);
-/// Period in which a node sends the owner of a queue the list of its attempts.
-const STATUS_PERIOD: Duration = Duration::from_millis(250);
-/// Time without a message from a node after which an owner frees the slots of that node.
-const NODE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Shortest period in which a node sends the owner of a queue the list of its attempts.
+const MIN_STATUS_PERIOD: Duration = Duration::from_millis(250);
+/// Status period for each node; an owner gets at most 250 statuses a second of a queue, however many nodes there are.
+const STATUS_PERIOD_PER_NODE: Duration = Duration::from_millis(4);
+/// Shortest time without a message from a node after which an owner frees the slots of that node.
+const MIN_NODE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Status periods without a message from a node after which an owner frees its slots.
+const NODE_TIMEOUT_STATUSES: u32 = 5;
 /// Minimum age at which an attempt that is missing from a status is removed; a younger one may have been submitted or granted
 /// while the status was in flight.
 const MIN_RECONCILE_AGE: Duration = Duration::from_millis(200);
@@ -55,12 +60,14 @@
 
 /// Submits the attempts of one node to the owners of their queues, and dispatches the queues that this node owns.
 ///
-/// The owner of a queue is the live node that ranks first by rendezvous hash, so no election is needed: when an owner dies,
-/// each node submits its attempts to the next in rank, which rebuilds the occupied slots from the status messages of the nodes.
+/// The owner of a queue is the live node of the highest capacity that ranks first by rendezvous hash, so no election is needed: when an
+/// owner dies, each node submits its attempts to the next in rank, which rebuilds the occupied slots from the status messages of the nodes.
 #[derive(Debug)]
 pub struct Coordinator {
     node: NodeId,
     members: Vec<NodeId>,
+    /// Capacities of the nodes; a node that is missing has the lowest.
+    capacities: BTreeMap<NodeId, NodeCapacity>,
     suspects: BTreeMap<NodeId, Instant>,
     queue_counts: BTreeMap<String, usize>,
     targets: BTreeMap<String, Vec<DispatchTarget>>,
@@ -80,6 +87,7 @@
         Self {
             members: vec![node.clone()],
             node,
+            capacities: BTreeMap::new(),
             suspects: BTreeMap::new(),
             queue_counts: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -102,6 +110,14 @@
         self.owners.clear();
     }
 
+    /// Replaces the capacities of the nodes, including this one.
+    pub fn set_capacities(&mut self, capacities: BTreeMap<NodeId, NodeCapacity>) {
+        if self.capacities != capacities {
+            self.capacities = capacities;
+            self.owners.clear();
+        }
+    }
+
     /// Replaces the targets of a service and distributes them over its queues.
     pub fn set_targets(
         &mut self,
@@ -287,14 +303,13 @@
         {
             return owner.clone();
         }
-        let candidates = self
-            .members
-            .iter()
-            .filter(|node| self.suspects.get(*node).is_none_or(|until| *until <= now))
-            .map(String::as_str);
-        let owner = rank_by_rendezvous(queue, candidates)
-            .first()
-            .map_or(self.node.clone(), ToString::to_string);
+        let is_trusted =
+            |node: &&NodeId| self.suspects.get(*node).is_none_or(|until| *until <= now);
+        let capacity = |node: &NodeId| self.capacities.get(node).copied().unwrap_or_default();
+        let trusted = || self.members.iter().filter(is_trusted);
+        let highest = trusted().map(capacity).max().unwrap_or_default();
+        let candidates = trusted().filter(|node| capacity(node) == highest).map(String::as_str);
+        let owner = rendezvous_owner(queue, candidates).map_or(self.node.clone(), str::to_string);
         let previous =
             self.last_status.get(queue).map(|(owner, _)| owner.clone()).unwrap_or_default();
         if previous != owner {
@@ -348,8 +363,8 @@
         waiting.unanswered_submissions += 1;
         waiting.next_send = now + RESEND_AFTER;
         waiting.job.waited_ms = now.saturating_duration_since(waiting.arrived).as_millis() as u32;
-        let message =
-            PeerMessage::Submit { queue: waiting.queue.clone(), number, job: waiting.job.clone() };
+        let job = Box::new(waiting.job.clone());
+        let message = PeerMessage::Submit { queue: waiting.queue.clone(), number, job };
         let owner = waiting.owner.clone();
         self.send_or_handle(now, owner, message, actions);
     }
@@ -485,10 +500,11 @@
     }
 
     fn send_statuses(&mut self, now: Instant, actions: &mut Vec<CoordinatorAction>) {
+        let period = self.status_period();
         let due: Vec<String> = self
             .last_status
             .iter()
-            .filter(|(_, (_, sent))| now.saturating_duration_since(*sent) >= STATUS_PERIOD)
+            .filter(|(_, (_, sent))| now.saturating_duration_since(*sent) >= period)
             .map(|(queue, _)| queue.clone())
             .collect();
         for queue in due {
@@ -497,6 +513,10 @@
         }
     }
 
+    fn status_period(&self) -> Duration {
+        MIN_STATUS_PERIOD.max(STATUS_PERIOD_PER_NODE * self.members.len() as u32)
+    }
+
     fn send_status(
         &mut self,
         now: Instant,
@@ -528,10 +548,11 @@
 
     /// Frees the slots of nodes that have stopped sending messages, because they died or selected another owner.
     fn remove_silent_nodes(&mut self, now: Instant, actions: &mut Vec<CoordinatorAction>) {
+        let timeout = MIN_NODE_TIMEOUT.max(self.status_period() * NODE_TIMEOUT_STATUSES);
         let unresponsive: Vec<(String, NodeId)> = self
             .last_seen
             .iter()
-            .filter(|(_, last_seen)| now.saturating_duration_since(**last_seen) > NODE_TIMEOUT)
+            .filter(|(_, last_seen)| now.saturating_duration_since(**last_seen) > timeout)
             .map(|(key, _)| key.clone())
             .collect();
         for (queue, node) in unresponsive {
@@ -563,7 +584,7 @@
             .filter(|size| size.is_finite())
             .unwrap_or(1.0),
         prompt_tokens: job.prompt_tokens,
-        shared_part: job.shared_part,
+        prompt_parts: job.prompt_parts.clone(),
         zone: job.zone.clone(),
         excluded: job.excluded.clone(),
         is_retry: job.is_retry,
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -2,7 +2,7 @@
 use super::peer_documents::PeerDocuments;
 use super::{
     Coordinator, CoordinatorAction, Document, DocumentId, Documents, Members, Metrics,
-    PeerEndpoint, Placement, Rollouts, TimerService,
+    NodeCapacity, PeerEndpoint, Placement, Rollouts, TimerService,
 };
 use crate::connection::{HeaderNames, TargetPool};
 use crate::version::{Deployment, ServiceId, Target};
@@ -52,6 +52,8 @@
     pub grace: Duration,
     /// True when the whole deployment starts for the first time, so that no quota was used before.
     pub is_first_start: bool,
+    /// Class of the VM's processor and link; nodes of the highest class own the queues.
+    pub capacity: NodeCapacity,
     /// Start of the process in Unix milliseconds; distinguishes successive processes with the same node name.
     pub started_unix_ms: u64,
 }
@@ -437,9 +439,14 @@
 
     /// Passes the current list of live nodes to the coordinator.
     pub(crate) fn refresh_members(&self, now: Instant) {
-        let live = self.members.borrow().live(now);
+        let members = self.members.borrow();
+        let live = members.live(now);
+        let own = (self.settings.node.clone(), self.settings.capacity);
+        let capacities = members.capacities().map(|(node, capacity)| (node.clone(), capacity));
         self.metrics.members.set(gauge_value(live.len()));
-        self.coordinator.borrow_mut().set_members(live);
+        let mut coordinator = self.coordinator.borrow_mut();
+        coordinator.set_members(live);
+        coordinator.set_capacities(capacities.chain([own]).collect());
     }
 
     /// Discards the queue state received from peers, which is stale after a pause of the process.
--- a/crates/agatecourse-gateway/src/process/members.rs
+++ b/crates/agatecourse-gateway/src/process/members.rs
@@ -1,11 +1,19 @@
-use super::Heartbeat;
+use super::{Heartbeat, NodeCapacity};
 use agatecourse_types::NodeId;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-/// Time without a heartbeat after which a node owns no queues; five heartbeat periods of a small deployment.
-const SUSPECT_AFTER: Duration = Duration::from_millis(1_200);
+/// Shortest time without a heartbeat after which a node owns no queues; five heartbeat periods of a small deployment.
+const MIN_SUSPECT_AFTER: Duration = Duration::from_millis(1_200);
+/// Heartbeat periods without a heartbeat after which a node owns no queues; the loss of two does not make a node suspect.
+const SUSPECT_AFTER_PERIODS: u32 = 3;
+/// Addition for delays of the last of them.
+const SUSPECT_MARGIN: Duration = Duration::from_millis(200);
+/// Minimum period of heartbeats, for a node that knows no others.
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
+/// Addition to the heartbeat period per known node; bounds the number of heartbeats that a node sends per second.
+const HEARTBEAT_PERIOD_PER_NODE: Duration = Duration::from_millis(3);
 /// Time without a heartbeat after which a node is removed.
 const REMOVE_AFTER: Duration = Duration::from_secs(15);
 
@@ -16,6 +24,7 @@
     added: Instant,
     started_unix_ms: u64,
     is_stopping: bool,
+    capacity: NodeCapacity,
 }
 
 /// Membership list: the other nodes of the deployment that this node knows.
@@ -30,12 +39,28 @@
         Self::default()
     }
 
+    /// Returns the period of heartbeats, which grows with the number of known nodes.
+    pub fn heartbeat_period(&self) -> Duration {
+        HEARTBEAT_PERIOD + HEARTBEAT_PERIOD_PER_NODE * self.members.len() as u32
+    }
+
+    /// Returns the time without a heartbeat after which a node is suspected to have died.
+    pub fn suspect_after(&self) -> Duration {
+        MIN_SUSPECT_AFTER.max(self.heartbeat_period() * SUSPECT_AFTER_PERIODS + SUSPECT_MARGIN)
+    }
+
+    /// Returns the capacities of the nodes with a heartbeat.
+    pub fn capacities(&self) -> impl Iterator<Item = (&NodeId, NodeCapacity)> {
+        self.members.iter().map(|(node, member)| (node, member.capacity))
+    }
+
     /// Adds a node listed by another node or by a row of the platform; returns true if it is new.
     pub fn add(&mut self, now: Instant, node: &NodeId, address: Ipv4Addr) -> bool {
+        let suspect_after = self.suspect_after();
         if let Some(member) = self.members.get_mut(node) {
             let is_silent = member
                 .last_heartbeat
-                .is_none_or(|time| now.saturating_duration_since(time) > SUSPECT_AFTER);
+                .is_none_or(|time| now.saturating_duration_since(time) > suspect_after);
             if is_silent {
                 member.address = address;
             }
@@ -47,6 +72,7 @@
             added: now,
             started_unix_ms: 0,
             is_stopping: false,
+            capacity: NodeCapacity::default(),
         };
         self.members.insert(node.clone(), member);
         true
@@ -73,6 +99,7 @@
             added: member.added,
             started_unix_ms: heartbeat.started_unix_ms,
             is_stopping: heartbeat.is_stopping,
+            capacity: heartbeat.capacity,
         };
         is_new
     }
@@ -81,7 +108,7 @@
     pub fn live(&self, now: Instant) -> Vec<NodeId> {
         self.members
             .iter()
-            .filter(|(_, member)| !member.is_stopping && is_recent(now, member.last_heartbeat))
+            .filter(|(_, member)| !member.is_stopping && self.is_recent(now, member))
             .map(|(node, _)| node.clone())
             .collect()
     }
@@ -100,7 +127,7 @@
     pub fn recent_addresses(&self, now: Instant) -> Vec<(NodeId, Ipv4Addr)> {
         self.members
             .iter()
-            .filter(|(_, member)| is_recent(now, member.last_heartbeat))
+            .filter(|(_, member)| self.is_recent(now, member))
             .map(|(node, member)| (node.clone(), member.address))
             .collect()
     }
@@ -125,16 +152,20 @@
 
     /// Resets the heartbeat time of all nodes that were live before this process paused, so that none is suspected for the pause.
     pub fn reset_heartbeat_times(&mut self, now: Instant, pause: Duration) {
+        let suspect_after = self.suspect_after();
         for member in self.members.values_mut() {
             if let Some(last_heartbeat) = member.last_heartbeat
-                && now.saturating_duration_since(last_heartbeat) < SUSPECT_AFTER + pause
+                && now.saturating_duration_since(last_heartbeat) < suspect_after + pause
             {
                 member.last_heartbeat = Some(now);
             }
         }
     }
-}
 
-fn is_recent(now: Instant, last_heartbeat: Option<Instant>) -> bool {
-    last_heartbeat.is_some_and(|time| now.saturating_duration_since(time) < SUSPECT_AFTER)
+    fn is_recent(&self, now: Instant, member: &Member) -> bool {
+        let suspect_after = self.suspect_after();
+        member
+            .last_heartbeat
+            .is_some_and(|time| now.saturating_duration_since(time) < suspect_after)
+    }
 }
--- a/crates/agatecourse-gateway/src/process/mod.rs
+++ b/crates/agatecourse-gateway/src/process/mod.rs
@@ -26,7 +26,7 @@
 pub use members::Members;
 pub(crate) use metrics::Metrics;
 pub use peer_message::{
-    ClosureNotice, CrashNotice, Heartbeat, LimitNotice, OrganisationUse, PeerMessage,
+    ClosureNotice, CrashNotice, Heartbeat, LimitNotice, NodeCapacity, OrganisationUse, PeerMessage,
     QuarantineNotice, QuotaReport, RolloutReport, WireJob,
 };
 pub use peers::PeerEndpoint;
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -1,5 +1,5 @@
 use super::DocumentId;
-use agatecourse_core::request::dispatch::{JobNumber, RunReport};
+use agatecourse_core::request::dispatch::{JobNumber, PromptParts, RunReport};
 use agatecourse_core::request::{SuspectKey, SuspectKeys, TargetHash};
 use agatecourse_core::version::{RolloutCounts, RolloutState};
 use agatecourse_types::{NodeId, TargetId, VersionId, ZoneId};
@@ -7,6 +7,9 @@
 use smallvec::SmallVec;
 use std::net::Ipv4Addr;
 
+/// Class of a VM's processor and link, 0 for the smallest; queues are owned by nodes of the highest class that is live.
+pub type NodeCapacity = u8;
+
 /// Maximum size of an encoded message in bytes; fits the links between nodes without IP fragmentation.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 1_400;
 /// Zero bytes added to a received message, from which the fields decode that nodes of earlier versions do not send.
@@ -43,6 +46,8 @@
     pub crash_notices: Vec<CrashNotice>,
     /// Some of the quarantined keys that the sender knows.
     pub quarantine_notices: Vec<QuarantineNotice>,
+    /// Capacity of the sender's VM for work on behalf of other nodes.
+    pub capacity: NodeCapacity,
 }
 
 /// Use of an organisation in the quota window, as known to a node.
@@ -143,7 +148,7 @@
     pub relative_size: f32,
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
-    /// Hash of the shared part of the prompt.
+    /// Hash of the first part of the prompt, for nodes of earlier versions.
     pub shared_part: u64,
     /// Availability zone of the submitting node.
     pub zone: ZoneId,
@@ -158,6 +163,8 @@
     // Nodes of earlier versions end a job here.
     /// Keys of the request that may have crashed targets.
     pub suspects: SmallVec<[SuspectKey; 2]>,
+    /// Parts of the prompt.
+    pub prompt_parts: PromptParts,
 }
 
 /// A message between nodes.
@@ -172,7 +179,7 @@
         /// Number of the attempt on the sender.
         number: JobNumber,
         /// Properties that the owner decides by.
-        job: WireJob,
+        job: Box<WireJob>,
     },
     /// The owner has queued the attempt.
     Queued {
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -11,10 +11,12 @@
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 
-/// Minimum period of heartbeats, for a node that knows no others.
-const HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
-/// Addition to the heartbeat period per known node; bounds the number of heartbeats that a node sends per second.
-const HEARTBEAT_PERIOD_PER_NODE: Duration = Duration::from_millis(3);
+/// Pause after a failed call to receive a datagram.
+const RECEIVE_RETRY: Duration = Duration::from_millis(200);
+/// Number of known nodes above which only some heartbeats list other nodes, as the list would be a third of the bytes between nodes.
+const MAX_NODES_TO_ALWAYS_LIST: usize = 32;
+/// Heartbeats of which one lists other nodes, in a deployment with more nodes.
+const HEARTBEATS_PER_LIST: usize = 4;
 /// Maximum number of other nodes listed in a heartbeat, so that the message fits a datagram.
 const MAX_HEARTBEAT_MEMBERS: usize = 8;
 /// Timeout of fetching a document from a peer.
@@ -67,7 +69,7 @@
             Ok(received) => received,
             Err(error) => {
                 warn!(gateway.log, "receiving a datagram failed"; "error" => error.to_string());
-                tokio::time::sleep(HEARTBEAT_PERIOD).await;
+                tokio::time::sleep(RECEIVE_RETRY).await;
                 continue;
             }
         };
@@ -153,8 +155,7 @@
             gateway.clear_peer_state();
         }
         if next_heartbeat.get() <= now {
-            let known = gateway.members.borrow().addresses().count() as u32;
-            next_heartbeat.set(now + HEARTBEAT_PERIOD + HEARTBEAT_PERIOD_PER_NODE * known);
+            next_heartbeat.set(now + gateway.members.borrow().heartbeat_period());
             send_heartbeats(&gateway, now);
             let gone = gateway.members.borrow_mut().remove_silent(now);
             for node in gone {
@@ -171,9 +172,12 @@
 /// Sends a heartbeat of this node to all known nodes.
 pub(crate) fn send_heartbeats(gateway: &Gateway, now: Instant) {
     let mut named = gateway.members.borrow().recent_addresses(now);
-    if named.len() > MAX_HEARTBEAT_MEMBERS {
+    let round = gateway.next_phase();
+    if named.len() > MAX_NODES_TO_ALWAYS_LIST && !round.is_multiple_of(HEARTBEATS_PER_LIST) {
+        named.clear();
+    } else if named.len() > MAX_HEARTBEAT_MEMBERS {
         // A rotating part of the list covers all nodes within a few heartbeats.
-        let start = (gateway.next_phase()) % named.len();
+        let start = round % named.len();
         named.rotate_left(start);
         named.truncate(MAX_HEARTBEAT_MEMBERS);
     }
@@ -194,6 +198,7 @@
         is_usage_complete: gateway.deployment().is_some(),
         crash_notices,
         quarantine_notices,
+        capacity: gateway.settings.capacity,
     };
     broadcast(gateway, &PeerMessage::Heartbeat(Box::new(heartbeat)));
 }
--- a/crates/agatecourse-gateway/src/request/admission.rs
+++ b/crates/agatecourse-gateway/src/request/admission.rs
@@ -90,8 +90,11 @@
         admitted.rank =
             organisation.priority.map_or(admitted.rank, |priority| priority * 16 + admitted.rank);
         if let Some(quota) = organisation.quota {
-            let amount =
-                if quota.counts_tokens { workload.quota_tokens(quota.default_tokens) } else { 1 };
+            let amount = if quota.counts_tokens {
+                admitted.workload.quota_tokens(quota.default_tokens)
+            } else {
+                1
+            };
             if let Err(refusal) = gateway.reserve_quota(now, organisation, amount) {
                 let reason = format!(
                     "{} asks for {amount}, {} of {} used, {} of them here, {} of {} taken this period, configuration {}",
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -258,6 +258,7 @@
             relative_size: self.gateway.relative_size(&admitted.route.name, expected),
             prompt_tokens: admitted.workload.prompt_tokens,
             shared_part: admitted.workload.shared_part,
+            prompt_parts: admitted.workload.prompt_parts.clone(),
             zone: self.gateway.settings.zone.clone(),
             excluded: self.failed_targets.clone(),
             is_retry: self.sent_attempts > 0,
--- a/crates/agatecourse-gateway/src/request/workload.rs
+++ b/crates/agatecourse-gateway/src/request/workload.rs
@@ -1,12 +1,16 @@
 use crate::connection::HeaderNames;
 use crate::request::CallerRequest;
+use agatecourse_core::request::dispatch::{PromptPart, PromptParts};
 use agatecourse_types::stable_hash;
 
 /// Output tokens assumed for a request that states neither a limit nor an estimate.
 const UNKNOWN_OUTPUT_TOKENS: u32 = 100;
 
+/// Most parts of a prompt that are considered, so that a submission fits a datagram.
+const MAX_PROMPT_PARTS: usize = 16;
+
 /// Work that a request asks for, as its headers state it.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Workload {
     /// Tokens of the prompt; 0 when the request does not state them.
     pub(crate) prompt_tokens: u32,
@@ -16,6 +20,8 @@
     pub(crate) expected_output_tokens: u32,
     /// Hash of the first part of the prompt, which other requests may share; 0 without one.
     pub(crate) shared_part: u64,
+    /// Parts of the prompt in order, at most [`MAX_PROMPT_PARTS`].
+    pub(crate) prompt_parts: PromptParts,
 }
 
 impl Workload {
@@ -28,12 +34,16 @@
         let largest = counts.and_then(|(_, output)| parse(output)).unwrap_or(0);
         let hint = headers.get(&header_names.length_hint).and_then(parse);
         let expected = hint.unwrap_or(if largest > 0 { largest } else { UNKNOWN_OUTPUT_TOKENS });
-        let first_part =
-            headers.get(&header_names.prompt_parts).and_then(|text| text.split(',').next());
+        let parts = headers.get(&header_names.prompt_parts);
+        let first_part = parts.and_then(|text| text.split(',').next());
+        let prompt_parts = parts.map_or(PromptParts::new(), |text| {
+            text.split(',').take(MAX_PROMPT_PARTS).map_while(parse_part).collect()
+        });
         Self {
             prompt_tokens,
             max_output_tokens: largest,
             expected_output_tokens: if largest > 0 { expected.min(largest) } else { expected },
+            prompt_parts,
             shared_part: first_part.map_or(0, |part| stable_hash(&[part.trim().as_bytes()])),
         }
     }
@@ -44,3 +54,9 @@
         if named == 0 { default_tokens } else { named }
     }
 }
+
+/// Parses a part of a prompt, `ID:TOKENS`.
+fn parse_part(text: &str) -> Option<PromptPart> {
+    let (id, tokens) = text.trim().split_once(':')?;
+    Some(PromptPart { part: stable_hash(&[id.as_bytes()]), tokens: tokens.parse().ok()? })
+}
--- a/crates/agatecourse-gateway/tests/coordinator.rs
+++ b/crates/agatecourse-gateway/tests/coordinator.rs
@@ -156,6 +156,7 @@
         relative_size: 1.0,
         prompt_tokens: 10,
         shared_part: 0,
+        prompt_parts: SmallVec::new(),
         zone: "a".to_string(),
         excluded: SmallVec::new(),
         is_retry: false,
@@ -487,3 +488,49 @@
     let placed = (1..40).filter(|number| cluster.placed.contains_key(&("node-1".into(), *number)));
     expect_that!(placed.count(), gt(1));
 }
+
+/// Pattern: a large service with as many attempts as targets. Guards against attempts that wait in one queue of the service while targets
+/// of another queue are free.
+#[gtest]
+fn no_attempt_waits_while_a_target_of_a_large_service_is_free() {
+    let mut cluster = Cluster::new(5, 140);
+    for number in 1..=140 {
+        cluster.submit(&format!("node-{}", number % 5), number);
+    }
+    cluster.advance(Duration::from_millis(50));
+    let granted = (1..=140).filter(|number| {
+        cluster.granted_target(&format!("node-{}", number % 5), *number).is_some()
+    });
+    expect_that!(granted.count(), eq(140));
+}
+
+/// Guards against a queue of a large service on one of the smallest VMs, also after the owner has died, and against queues without an
+/// owner when all large VMs are gone.
+#[gtest]
+fn queues_are_owned_by_the_largest_live_nodes() {
+    let mut cluster = Cluster::new(6, 4);
+    let names: Vec<String> = (0..6).map(|index| format!("node-{index}")).collect();
+    let capacities: BTreeMap<String, u8> =
+        [(names[1].clone(), 2), (names[4].clone(), 2), (names[2].clone(), 1)].into();
+    for name in &names {
+        cluster.call(name, |node, _, _| node.set_capacities(capacities.clone()));
+    }
+    let mut number = 1_000;
+    for expected in [&[1, 4][..], &[1, 4], &[2], &[0, 3, 5]] {
+        number += 1;
+        cluster.submit("node-0", number);
+        cluster.advance(Duration::from_millis(400));
+        let owner = match &cluster.placed[&("node-0".to_string(), number)][0] {
+            Placement::Granted { owner, .. } | Placement::Refused { owner, .. } => owner.clone(),
+        };
+        let is_expected = expected.iter().any(|index| owner == names[*index]);
+        expect_that!(is_expected, eq(true), "{owner} of {expected:?}");
+        cluster.finish("node-0", number);
+        cluster.dead.insert(owner);
+        let live: Vec<String> =
+            names.iter().filter(|name| !cluster.dead.contains(*name)).cloned().collect();
+        for name in &live {
+            cluster.call(name, |node, _, _| node.set_members(live.clone()));
+        }
+    }
+}
--- a/crates/agatecourse-gateway/tests/members.rs
+++ b/crates/agatecourse-gateway/tests/members.rs
@@ -3,7 +3,7 @@
 use agatecourse_gateway::process::{Heartbeat, Members};
 use googletest::prelude::*;
 use std::net::Ipv4Addr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Guards against a seed that counts as two nodes, under its placeholder and under its own name.
 #[gtest]
@@ -18,3 +18,23 @@
     let names: Vec<&str> = members.addresses().map(|(name, _)| name.as_str()).collect();
     expect_that!(names, elements_are![eq(&"n1"), eq(&"seed-1")]);
 }
+
+/// Guards against sound nodes that are suspected because one or two of their heartbeats are lost: the period of heartbeats grows with the
+/// number of nodes, and from 334 nodes on it was longer than the time after which a node is suspected.
+#[gtest]
+fn two_lost_heartbeats_do_not_make_a_node_suspect() {
+    let now = Instant::now();
+    for count in [8_u16, 64, 194, 359] {
+        let mut members = Members::new();
+        for index in 0..count {
+            let [high, low] = index.to_be_bytes();
+            let heartbeat = Heartbeat { started_unix_ms: 1, ..Heartbeat::default() };
+            let address = Ipv4Addr::new(10, 0, high, low);
+            members.record_heartbeat(now, &format!("n{index}"), address, &heartbeat);
+        }
+        let third = now + members.heartbeat_period() * 3 + Duration::from_millis(50);
+        expect_that!(members.live(third).len(), eq(usize::from(count)), "{count} nodes");
+        let dead = now + members.suspect_after();
+        expect_that!(members.live(dead), is_empty(), "{count} nodes");
+    }
+}
