perf(core): find a target without a pause without scanning all targets

Cause: for each waiting attempt, the end of the pauses of all targets was looked for, which made a decision grow with targets times waiting attempts. Change: the search ends at the first target that is not paused for the node.

--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -417,12 +417,12 @@
 
     /// Returns the time in seconds until the first target takes requests of a node again; zero if one does.
     fn pause_s(&self, now: Instant, node: &NodeId) -> f64 {
-        let pauses = self
-            .targets
-            .values()
-            .filter(|view| view.is_staying())
-            .map(|view| view.node_pause_end(now, node).unwrap_or(now));
-        pauses.min().map_or(0.0, |end| end.saturating_duration_since(now).as_secs_f64())
+        let mut first_end: Option<Instant> = None;
+        for view in self.targets.values().filter(|view| view.is_staying()) {
+            let Some(end) = view.node_pause_end(now, node) else { return 0.0 };
+            first_end = Some(first_end.map_or(end, |first| first.min(end)));
+        }
+        first_end.map_or(0.0, |end| end.saturating_duration_since(now).as_secs_f64())
     }
 
     fn start_run(&mut self, now: Instant, job: &Job, target: &TargetId) {
