feat(gateway,platform): a few nodes follow the target table for all of a large deployment

Ruled out: the same for the operator's table, because rollout orders are not part of a document that nodes hand to each other. Change: from 33 nodes on, the eight live nodes of the highest capacity class that rank first by a hash follow the table. The others wait, and fetch the rows from one of those that announce a newer version, as long as at least four other live nodes say that they reach the store. A broadcast is encoded once.

--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -1,5 +1,6 @@
 use super::gateway_quota::{Quotas, RecordedUse};
 use super::peer_documents::PeerDocuments;
+use super::peers::send_heartbeats;
 use super::{
     Coordinator, CoordinatorAction, Document, DocumentId, Documents, Members, Metrics,
     NodeCapacity, PeerEndpoint, Placement, Rollouts, TimerService,
@@ -120,6 +121,7 @@
     closing: watch::Sender<bool>,
     caller_connections: Cell<usize>,
     is_source_lost: Cell<bool>,
+    relies_on_relays: Cell<bool>,
     next_number: Cell<JobNumber>,
     pub(super) started: Instant,
     phase: Cell<usize>,
@@ -188,6 +190,7 @@
             closing: watch::Sender::new(false),
             caller_connections: Cell::new(0),
             is_source_lost: Cell::new(true),
+            relies_on_relays: Cell::new(false),
             started: now,
             phase: Cell::new(0),
             recorded_use: RefCell::default(),
@@ -264,6 +267,11 @@
         self.targets.borrow().get(id).cloned()
     }
 
+    /// Returns whether a target is known and accepts requests.
+    pub fn has_target(&self, id: &TargetId) -> bool {
+        self.targets.borrow().contains_key(id)
+    }
+
     /// Returns whether any target accepts requests.
     pub(crate) fn has_usable_targets(&self) -> bool {
         !self.targets.borrow().is_empty()
@@ -284,6 +292,27 @@
         self.is_source_lost.get()
     }
 
+    /// Decides whether this node may get documents from nodes that follow the source for all, in place of the source, and returns it.
+    pub fn update_reliance_on_relays(&self, now: Instant) -> bool {
+        let settings = &self.settings;
+        let relies = !self.is_source_lost()
+            && self.members.borrow().has_source_relays(now, &settings.node, settings.capacity);
+        if self.relies_on_relays.replace(relies) != relies {
+            info!(self.log, "source relays changed"; "relies_on_relays" => relies);
+        }
+        relies
+    }
+
+    /// Returns whether this node gets documents from nodes that follow the source for all.
+    pub fn relies_on_relays(&self) -> bool {
+        self.relies_on_relays.get()
+    }
+
+    /// Returns whether other nodes wait for this one to announce new documents.
+    pub fn has_relying_nodes(&self) -> bool {
+        !self.relies_on_relays() && self.members.borrow().has_relying_nodes(Instant::now())
+    }
+
     /// Adds a node that is listed in a row of the platform; ignores this node itself.
     pub fn add_member(&self, node: &NodeId, address: Ipv4Addr) {
         if *node != self.settings.node {
@@ -303,7 +332,12 @@
 
     /// Stores a document so that peers can fetch it; returns false if it is not newer than the stored one.
     pub fn put_document(&self, id: DocumentId, document: Document) -> bool {
-        self.documents.borrow_mut().put(id, document)
+        let is_new = self.documents.borrow_mut().put(id, document);
+        // Nodes that rely on this one wait for its next heartbeat.
+        if is_new && !self.is_source_lost() && self.has_relying_nodes() {
+            send_heartbeats(self, Instant::now());
+        }
+        is_new
     }
 
     /// Restricts a document to be fetched from peers only while its source is unreachable.
@@ -534,7 +568,7 @@
                 CoordinatorAction::Send { to, message } => {
                     let address = self.members.borrow().address(&to);
                     if let Some(address) = address {
-                        self.peers.send(&self.settings.node, address, message);
+                        self.peers.send(&self.settings.node, [address], message);
                         self.metrics.peer_messages.with_label_values(&["sent"]).inc();
                     }
                 }
--- a/crates/agatecourse-gateway/src/process/gateway_crashes.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_crashes.rs
@@ -37,7 +37,7 @@
     pub(crate) fn record_crash(&self, now: Instant, report: CrashReport) {
         let notice = to_notice(now, &report);
         if self.record_report(now, &self.settings.node, report) {
-            broadcast(self, &PeerMessage::Crash(notice));
+            broadcast(self, PeerMessage::Crash(notice));
         }
     }
 
@@ -75,7 +75,7 @@
     pub(crate) fn record_sound(&self, now: Instant, keys: &[SuspectKey]) {
         let cleared = self.clear_suspects(now, &self.settings.node, keys);
         if !cleared.is_empty() {
-            broadcast(self, &PeerMessage::Cleared { keys: cleared });
+            broadcast(self, PeerMessage::Cleared { keys: cleared });
         }
     }
 
--- a/crates/agatecourse-gateway/src/process/members.rs
+++ b/crates/agatecourse-gateway/src/process/members.rs
@@ -1,5 +1,6 @@
 use super::{Heartbeat, NodeCapacity};
-use agatecourse_types::NodeId;
+use agatecourse_types::{NodeId, stable_hash};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
@@ -14,6 +15,12 @@
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
 /// Addition to the heartbeat period per known node; bounds the number of heartbeats that a node sends per second.
 const HEARTBEAT_PERIOD_PER_NODE: Duration = Duration::from_millis(3);
+/// Nodes up to which each one follows the source of documents itself.
+const MAX_NODES_WITHOUT_RELAYS: usize = 32;
+/// Nodes that follow the source for all in a larger deployment.
+const SOURCE_RELAYS: usize = 8;
+/// Other nodes that must follow the source before a node relies on them; the source may refuse some of them without their knowledge.
+const MIN_SOURCE_RELAYS: usize = 4;
 /// Time without a heartbeat after which a node is removed.
 const REMOVE_AFTER: Duration = Duration::from_secs(15);
 
@@ -25,6 +32,7 @@
     started_unix_ms: u64,
     is_stopping: bool,
     capacity: NodeCapacity,
+    follows_source: bool,
 }
 
 /// Membership list: the other nodes of the deployment that this node knows.
@@ -73,6 +81,7 @@
             started_unix_ms: 0,
             is_stopping: false,
             capacity: NodeCapacity::default(),
+            follows_source: false,
         };
         self.members.insert(node.clone(), member);
         true
@@ -100,6 +109,7 @@
             started_unix_ms: heartbeat.started_unix_ms,
             is_stopping: heartbeat.is_stopping,
             capacity: heartbeat.capacity,
+            follows_source: heartbeat.follows_source,
         };
         is_new
     }
@@ -113,6 +123,33 @@
             .collect()
     }
 
+    /// Returns whether a node with this capacity gets the documents of the source from others: the deployment is large, enough other nodes
+    /// follow the source, and the node is not one of those that do so for all.
+    pub fn has_source_relays(&self, now: Instant, node: &NodeId, capacity: NodeCapacity) -> bool {
+        let live = || {
+            self.members
+                .iter()
+                .filter(|(_, member)| !member.is_stopping && self.is_recent(now, member))
+        };
+        if live().count() < MAX_NODES_WITHOUT_RELAYS {
+            return false;
+        }
+        let order = |node: &NodeId, capacity: NodeCapacity| {
+            (Reverse(capacity), stable_hash(&[b"source relay", node.as_bytes()]))
+        };
+        let own = order(node, capacity);
+        let ahead = live().filter(|(other, member)| order(other, member.capacity) < own).count();
+        let following = live().filter(|(_, member)| member.follows_source).count();
+        ahead >= SOURCE_RELAYS && following >= MIN_SOURCE_RELAYS
+    }
+
+    /// Returns whether a live node does not follow the source of documents, so that it waits for others to announce new ones.
+    pub fn has_relying_nodes(&self, now: Instant) -> bool {
+        self.members.values().any(|member| {
+            !member.follows_source && member.last_heartbeat.is_some() && self.is_recent(now, member)
+        })
+    }
+
     /// Returns all known nodes with their addresses.
     pub fn addresses(&self) -> impl Iterator<Item = (&NodeId, Ipv4Addr)> {
         self.members.iter().map(|(node, member)| (node, member.address))
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -48,6 +48,8 @@
     pub quarantine_notices: Vec<QuarantineNotice>,
     /// Capacity of the sender's VM for work on behalf of other nodes.
     pub capacity: NodeCapacity,
+    /// True if the sender follows the source of documents itself, and reaches it.
+    pub follows_source: bool,
 }
 
 /// Use of an organisation in the quota window, as known to a node.
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -1,4 +1,5 @@
 use super::panics::run_isolated;
+use super::peer_documents::PeerNeed;
 use super::peer_message::{MAX_MESSAGE_BYTES, PeerEnvelope};
 use super::{Gateway, GatewayError, Heartbeat, PeerMessage};
 use crate::connection::{CallError, SimpleClient};
@@ -46,13 +47,20 @@
         Ok(Self { socket, port })
     }
 
-    /// Sends a message without delivery guarantee; the timers of the sender retransmit what matters.
-    pub(crate) fn send(&self, from: &NodeId, to: Ipv4Addr, message: PeerMessage) {
+    /// Sends a message to nodes without delivery guarantee; the timers of the sender retransmit what matters.
+    pub(crate) fn send(
+        &self,
+        from: &NodeId,
+        to: impl IntoIterator<Item = Ipv4Addr>,
+        message: PeerMessage,
+    ) {
         let envelope = PeerEnvelope { from: from.clone(), message };
         if let Ok(bytes) = postcard::to_allocvec(&envelope) {
-            // A full socket buffer has the effect of a lost datagram, which the protocol tolerates.
-            let _ =
-                self.socket.try_send_to(&bytes, SocketAddr::V4(SocketAddrV4::new(to, self.port)));
+            for address in to {
+                // A full socket buffer has the effect of a lost datagram, which the protocol tolerates.
+                let address = SocketAddr::V4(SocketAddrV4::new(address, self.port));
+                let _ = self.socket.try_send_to(&bytes, address);
+            }
         }
     }
 
@@ -199,27 +207,32 @@
         crash_notices,
         quarantine_notices,
         capacity: gateway.settings.capacity,
+        follows_source: !gateway.is_source_lost() && !gateway.relies_on_relays(),
     };
-    broadcast(gateway, &PeerMessage::Heartbeat(Box::new(heartbeat)));
+    broadcast(gateway, PeerMessage::Heartbeat(Box::new(heartbeat)));
 }
 
 /// Sends a message to all known nodes.
-pub(super) fn broadcast(gateway: &Gateway, message: &PeerMessage) {
+pub(super) fn broadcast(gateway: &Gateway, message: PeerMessage) {
     let mut addresses: Vec<Ipv4Addr> =
         gateway.members.borrow().addresses().map(|(_, address)| address).collect();
     addresses.sort_unstable();
     addresses.dedup();
-    for address in addresses.into_iter().filter(|address| *address != gateway.settings.ip) {
-        gateway.peers.send(&gateway.settings.node, address, message.clone());
-        gateway.metrics.peer_messages.with_label_values(&["sent"]).inc();
-    }
+    addresses.retain(|address| *address != gateway.settings.ip);
+    gateway.metrics.peer_messages.with_label_values(&["sent"]).inc_by(addresses.len() as u64);
+    gateway.peers.send(&gateway.settings.node, addresses, message);
 }
 
 fn fetch_documents(gateway: &Rc<Gateway>, now: Instant) {
-    let Some((id, peer)) = gateway.peer_documents().start_due_fetch(now, gateway.is_source_lost())
-    else {
-        return;
+    let need = if gateway.is_source_lost() {
+        PeerNeed::SourceLost
+    } else if gateway.relies_on_relays() {
+        PeerNeed::Relayed
+    } else {
+        PeerNeed::Late
     };
+    let due = gateway.peer_documents().start_due_fetch(now, need, &gateway.settings.node);
+    let Some((id, peer)) = due else { return };
     let Some(address) = gateway.members.borrow().address(&peer) else { return };
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
--- a/crates/agatecourse-gateway/tests/members.rs
+++ b/crates/agatecourse-gateway/tests/members.rs
@@ -38,3 +38,39 @@
         expect_that!(members.live(dead), is_empty(), "{count} nodes");
     }
 }
+
+/// Guards against nodes that rely on others for the documents of the source while too few follow it, or in a small deployment, and against
+/// nodes that all rely on each other.
+#[gtest]
+fn nodes_rely_on_relays_only_in_large_deployments_with_enough_of_them() {
+    let now = Instant::now();
+    let members = |count: usize, following: usize| {
+        let mut members = Members::new();
+        for index in 0..count {
+            let heartbeat = Heartbeat {
+                started_unix_ms: 1,
+                capacity: u8::from(index < 10),
+                follows_source: index < following,
+                ..Heartbeat::default()
+            };
+            let address = Ipv4Addr::new(10, 0, 0, index as u8);
+            members.record_heartbeat(now, &format!("n{index}"), address, &heartbeat);
+        }
+        members
+    };
+    let own = "own".to_string();
+    expect_that!(members(31, 31).has_source_relays(now, &own, 0), eq(false));
+    expect_that!(members(64, 64).has_source_relays(now, &own, 0), eq(true));
+    expect_that!(members(64, 4).has_source_relays(now, &own, 0), eq(true));
+    expect_that!(members(64, 3).has_source_relays(now, &own, 0), eq(false));
+    expect_that!(members(64, 64).has_source_relays(now, &own, 2), eq(false));
+    let silent = now + members(64, 64).suspect_after();
+    expect_that!(members(64, 64).has_source_relays(silent, &own, 0), eq(false));
+    let all: Vec<String> = (0..64).map(|index| format!("n{index}")).collect();
+    let members = members(64, 64);
+    let relays = all
+        .iter()
+        .enumerate()
+        .filter(|(index, name)| !members.has_source_relays(now, name, u8::from(*index < 10)));
+    expect_that!(relays.count(), eq(8));
+}
