--- a/crates/agatecourse-gateway/src/process/gateway_versions.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_versions.rs
@@ -15,6 +15,11 @@
         }
     }
 
+    /// Returns whether a rollout of a service is known.
+    pub fn has_rollout(&self, service: &ServiceId) -> bool {
+        self.rollouts.borrow().has_rollout(service)
+    }
+
     /// Applies the recorded outcome of a rollout.
     pub fn adopt_rollout(&self, service: &ServiceId, to: &VersionId, state: RolloutState) {
         self.rollouts.borrow_mut().adopt(service, to, state);
--- a/crates/agatecourse-gateway/src/process/rollouts.rs
+++ b/crates/agatecourse-gateway/src/process/rollouts.rs
@@ -41,6 +41,11 @@
         is_new
     }
 
+    /// Returns whether a rollout of a service is known.
+    pub fn has_rollout(&self, service: &ServiceId) -> bool {
+        self.by_service.contains_key(service)
+    }
+
     /// Applies the recorded outcome of the rollout of a version.
     pub fn adopt(&mut self, service: &ServiceId, to: &VersionId, state: RolloutState) {
         if let Some(rollout) = self.by_service.get_mut(service).filter(|rollout| rollout.to == *to)
