--- a/crates/agatecourse-gateway/src/process/members.rs
+++ b/crates/agatecourse-gateway/src/process/members.rs
@@ -116,38 +116,40 @@
 
     /// Returns the nodes with a recent heartbeat that are not shutting down.
     pub fn live(&self, now: Instant) -> Vec<NodeId> {
-        self.members
-            .iter()
-            .filter(|(_, member)| !member.is_stopping && self.is_recent(now, member))
-            .map(|(node, _)| node.clone())
-            .collect()
+        self.live_members(now).map(|(node, _)| node.clone()).collect()
     }
 
     /// Returns whether a node with this capacity gets the documents of the source from others: the deployment is large, enough other nodes
     /// follow the source, and the node is not one of those that do so for all.
     pub fn has_source_relays(&self, now: Instant, node: &NodeId, capacity: NodeCapacity) -> bool {
-        let live = || {
-            self.members
-                .iter()
-                .filter(|(_, member)| !member.is_stopping && self.is_recent(now, member))
-        };
-        if live().count() < MAX_NODES_WITHOUT_RELAYS {
+        if !self.is_large(now) {
             return false;
         }
         let order = |node: &NodeId, capacity: NodeCapacity| {
             (Reverse(capacity), stable_hash(&[b"source relay", node.as_bytes()]))
         };
         let own = order(node, capacity);
-        let ahead = live().filter(|(other, member)| order(other, member.capacity) < own).count();
-        let following = live().filter(|(_, member)| member.follows_source).count();
-        ahead >= SOURCE_RELAYS && following >= MIN_SOURCE_RELAYS
+        let is_ahead = |other: &NodeId, member: &Member| order(other, member.capacity) < own;
+        let ahead = self.live_members(now).filter(|(other, member)| is_ahead(other, member));
+        let following = self.live_members(now).filter(|(_, member)| member.follows_source);
+        ahead.count() >= SOURCE_RELAYS && following.count() >= MIN_SOURCE_RELAYS
     }
 
-    /// Returns whether a live node does not follow the source of documents, so that it waits for others to announce new ones.
+    /// Returns whether a live node of a large deployment does not follow the source of documents, so that it waits for others to announce
+    /// new ones.
     pub fn has_relying_nodes(&self, now: Instant) -> bool {
-        self.members.values().any(|member| {
-            !member.follows_source && member.last_heartbeat.is_some() && self.is_recent(now, member)
-        })
+        self.is_large(now) && self.live_members(now).any(|(_, member)| !member.follows_source)
+    }
+
+    /// Returns whether there are so many live nodes, with this one, that not all follow the source of documents.
+    fn is_large(&self, now: Instant) -> bool {
+        self.live_members(now).count() >= MAX_NODES_WITHOUT_RELAYS
+    }
+
+    fn live_members(&self, now: Instant) -> impl Iterator<Item = (&NodeId, &Member)> {
+        self.members
+            .iter()
+            .filter(move |(_, member)| !member.is_stopping && self.is_recent(now, member))
     }
 
     /// Returns all known nodes with their addresses.
--- a/crates/agatecourse-gateway/tests/coordinator.rs
+++ b/crates/agatecourse-gateway/tests/coordinator.rs
@@ -534,3 +534,36 @@
         }
     }
 }
+
+/// Guards against an attempt that runs twice around a hand-over of its queue, in which the old and the new owner both grant it: the node
+/// uses the first grant and gives the second target back.
+#[gtest]
+fn second_owner_of_a_queue_gets_its_grant_back() {
+    let now = Instant::now();
+    let mut node = Coordinator::new("node-0");
+    node.set_members(vec!["node-0".to_string(), "old".to_string(), "new".to_string()]);
+    let mut actions = Vec::new();
+    let submission =
+        Submission { number: 7, service: "drafts".to_string(), arrived: now, job: wire_job() };
+    node.submit(now, submission, &mut actions);
+    actions.clear();
+    for (owner, target) in [("old", "target-0"), ("new", "target-1"), ("new", "target-1")] {
+        let message = PeerMessage::Granted { number: 7, target: target.to_string() };
+        node.on_message(now, &owner.to_string(), message, &mut actions);
+    }
+    let placed = actions.iter().filter_map(|action| match action {
+        CoordinatorAction::Place { placement: Placement::Granted { target, .. }, .. } => {
+            Some(target.as_str())
+        }
+        _ => None,
+    });
+    expect_that!(placed.collect::<Vec<_>>(), elements_are![eq(&"target-0")]);
+    let returned = actions.iter().filter(|action| match action {
+        CoordinatorAction::Send { to, message: PeerMessage::Ended { number, report, .. } } => {
+            to == "new" && *number == 7 && report.end == RunEnd::Unused
+        }
+        _ => false,
+    });
+    expect_that!(returned.count(), eq(2));
+    expect_that!(node.counts(), eq((0, 1)));
+}
--- a/crates/agatecourse-gateway/tests/members.rs
+++ b/crates/agatecourse-gateway/tests/members.rs
@@ -73,4 +73,22 @@
         .enumerate()
         .filter(|(index, name)| !members.has_source_relays(now, name, u8::from(*index < 10)));
     expect_that!(relays.count(), eq(8));
+    expect_that!(members.has_relying_nodes(now), eq(false));
+}
+
+/// Guards against nodes of a small deployment that change how often they call the source because one of them is cut off from it.
+#[gtest]
+fn nodes_of_a_small_deployment_do_not_wait_for_each_other() {
+    let now = Instant::now();
+    for (count, expected) in [(8_u8, false), (64, true)] {
+        let mut members = Members::new();
+        for index in 0..count {
+            let follows_source = index > 0;
+            let heartbeat =
+                Heartbeat { started_unix_ms: 1, follows_source, ..Heartbeat::default() };
+            let address = Ipv4Addr::new(10, 0, 0, index);
+            members.record_heartbeat(now, &format!("n{index}"), address, &heartbeat);
+        }
+        expect_that!(members.has_relying_nodes(now), eq(expected), "{count} nodes");
+    }
 }
