fix(core): give a target that fails everything single requests, also in an overload

Ruled out: crashed targets, which refuse connections and were paused after the first failure; too many grants by a new owner (the slots were counted); the penalty for failures in the placement, which only orders targets that have free slots. Change: after twelve failures in a row, of which a run that ended without an answer counts as three, a target is treated like an unreachable one: it comes last and gets one request after each pause, until it answers.

--- a/crates/agatecourse-core/src/request/dispatch/target_view.rs
+++ b/crates/agatecourse-core/src/request/dispatch/target_view.rs
@@ -15,6 +15,12 @@
 /// Longest pause between attempts at an unreachable target.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
+/// Failed runs without an answer in between after which a target is treated as unreachable; a target that fails half of its requests
+/// reaches it about once in 8,000 runs.
+const MAX_FAILURES_IN_A_ROW: u32 = 12;
+/// Failed runs for which one counts that ended without an answer, as users see no reason of the target for it.
+const BROKEN_RUN_FAILURES: u32 = 3;
+
 /// Time within which a run shows whether it crashes its target; longer than the first event of a stream takes under load.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -66,6 +72,8 @@
     pub(super) slowness: f64,
     /// Moving average of failed runs, from 0 to 1.
     pub(super) failure_share: f64,
+    /// Failed runs since the last answer.
+    failures_in_a_row: u32,
     paused_until: Option<Instant>,
     pause: Duration,
     /// Number of the target's process, under which the index of prompt parts knows it.
@@ -87,6 +95,7 @@
             runs: BTreeMap::new(),
             slowness: 1.0,
             failure_share: 0.0,
+            failures_in_a_row: 0,
             paused_until: None,
             pause: Duration::ZERO,
             number,
@@ -186,19 +195,15 @@
     }
 
     /// Updates the failure share and the pause by the end of a run.
+    ///
+    /// A target that fails all its requests quickly always has free slots, so that in an overload it would get every request for which the
+    /// sound targets have none. After some failures in a row it gets a single request after each pause, like an unreachable one.
     pub(super) fn record_end(&mut self, now: Instant, end: RunEnd) {
-        let failed = match end {
-            RunEnd::Answered => {
-                self.pause = Duration::ZERO;
-                self.paused_until = None;
-                0.0
-            }
-            RunEnd::Failed | RunEnd::Broken => 1.0,
-            RunEnd::Unreachable => {
-                self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
-                self.paused_until = Some(now + self.pause);
-                1.0
-            }
+        let failures = match end {
+            RunEnd::Answered => 0,
+            RunEnd::Failed => self.failures_in_a_row + 1,
+            RunEnd::Broken => self.failures_in_a_row + BROKEN_RUN_FAILURES,
+            RunEnd::Unreachable => MAX_FAILURES_IN_A_ROW,
             RunEnd::Unused => {
                 if let Some(bucket) = &mut self.bucket {
                     bucket.refund();
@@ -207,6 +212,15 @@
             }
             RunEnd::Rejected | RunEnd::Abandoned => return,
         };
+        self.failures_in_a_row = failures.min(MAX_FAILURES_IN_A_ROW);
+        if failures == 0 {
+            self.pause = Duration::ZERO;
+            self.paused_until = None;
+        } else if failures >= MAX_FAILURES_IN_A_ROW {
+            self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
+            self.paused_until = Some(now + self.pause);
+        }
+        let failed = if failures == 0 { 0.0 } else { 1.0 };
         self.failure_share += LEARNING_RATE * (failed - self.failure_share);
     }
 
--- a/crates/agatecourse-core/tests/dispatcher/load_patterns.rs
+++ b/crates/agatecourse-core/tests/dispatcher/load_patterns.rs
@@ -83,6 +83,22 @@
     expect_that!(failing, le(total / 9));
 }
 
+/// Pattern: twice the capacity of nine targets, of which one fails or resets each request at once. Guards against a target that is the only
+/// one with free slots because it serves nothing, and therefore gets the requests that wait for the others: each may cost it some failures
+/// and then one request after each pause.
+#[gtest]
+fn fast_failing_target_gets_few_requests_in_an_overload() {
+    let length = Duration::from_secs(20);
+    for behaviour in [TargetBehaviour::FailsFast, TargetBehaviour::ResetsFast] {
+        let mut targets = healthy(8);
+        targets.push(behaviour);
+        let mut simulation = Simulation::new(5, &targets, &drafting_kinds());
+        simulation.run_load(length, |_| 2.2);
+        let failing = simulation.runs.get("target-8").copied().unwrap_or(0);
+        expect_that!(failing, le(20 + 15), "{behaviour:?}");
+    }
+}
+
 /// Pattern: a third of the targets is four times as slow. Guards against a placement that ignores speed: at half load the
 /// fast targets get more than two thirds of the runs.
 #[gtest]
--- a/crates/agatecourse-core/tests/dispatcher/simulation.rs
+++ b/crates/agatecourse-core/tests/dispatcher/simulation.rs
@@ -14,6 +14,8 @@
     Unreachable,
     /// Answers at once with a failure.
     FailsFast,
+    /// Resets the connection of each request at once.
+    ResetsFast,
 }
 
 /// Rate, run time and limits of one kind of request.
@@ -168,6 +170,7 @@
                         (RunEnd::Unreachable, Duration::from_millis(400))
                     }
                     TargetBehaviour::FailsFast => (RunEnd::Failed, Duration::from_millis(2)),
+                    TargetBehaviour::ResetsFast => (RunEnd::Broken, Duration::from_millis(2)),
                 };
                 if end == RunEnd::Answered {
                     // The first byte arrives after a tenth of the run time.
