fix(core): count only quick failures towards the pause of a target that fails everything

By reading: in an overload a sound target may answer too late several times in a row and was then paused as well. Change: a failure counts only if the run ended within 250 ms. A target that fails slowly has no free slots that attract requests. Measured: tests of the dispatcher pass, the bound of the overload test is the same.

--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -145,7 +145,7 @@
                 view.learn_slowness(run.expected_s, report.elapsed);
                 self.profile.learn(run.kind, run.relative_size, slowness, report.elapsed);
             }
-            view.record_end(now, report.end);
+            view.record_end(now, report);
         }
         self.assign_free_slots(now, decisions);
     }
--- a/crates/agatecourse-core/src/request/dispatch/target_view.rs
+++ b/crates/agatecourse-core/src/request/dispatch/target_view.rs
@@ -1,5 +1,5 @@
 use super::prefix_index::TargetNumber;
-use super::{JobKey, NamedLimit, RunEnd};
+use super::{JobKey, NamedLimit, RunEnd, RunReport};
 use crate::request::{SuspectKey, TokenBucket};
 use agatecourse_types::{NodeId, TargetId};
 use smallvec::SmallVec;
@@ -15,9 +15,12 @@
 /// Longest pause between attempts at an unreachable target.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
-/// Failed runs without an answer in between after which a target is treated as unreachable; a target that fails half of its requests
-/// reaches it about once in 8,000 runs.
+/// Runs that failed quickly without an answer in between after which a target is treated as unreachable; a target that fails half of its
+/// requests reaches it about once in 8,000 runs.
 const MAX_FAILURES_IN_A_ROW: u32 = 12;
+/// Run time from which on a failure is not counted among them: a target that fails slowly has no free slots that attract requests, and
+/// in an overload sound targets may answer too late.
+const QUICK_FAILURE: Duration = Duration::from_millis(250);
 /// Failed runs for which one counts that ended without an answer, as users see no reason of the target for it.
 const BROKEN_RUN_FAILURES: u32 = 3;
 
@@ -196,13 +199,21 @@
 
     /// Updates the failure share and the pause by the end of a run.
     ///
-    /// A target that fails all its requests quickly always has free slots, so that in an overload it would get every request for which the
+    /// A target that fails all its requests at once always has free slots, so that in an overload it would get every request for which the
     /// sound targets have none. After some failures in a row it gets a single request after each pause, like an unreachable one.
-    pub(super) fn record_end(&mut self, now: Instant, end: RunEnd) {
-        let failures = match end {
-            RunEnd::Answered => 0,
-            RunEnd::Failed => self.failures_in_a_row + 1,
-            RunEnd::Broken => self.failures_in_a_row + BROKEN_RUN_FAILURES,
+    pub(super) fn record_end(&mut self, now: Instant, report: RunReport) {
+        let is_quick = report.elapsed < QUICK_FAILURE;
+        let added = match report.end {
+            RunEnd::Answered => {
+                self.pause = Duration::ZERO;
+                self.paused_until = None;
+                self.failures_in_a_row = 0;
+                self.failure_share -= LEARNING_RATE * self.failure_share;
+                return;
+            }
+            RunEnd::Failed if is_quick => 1,
+            RunEnd::Broken if is_quick => BROKEN_RUN_FAILURES,
+            RunEnd::Failed | RunEnd::Broken => 0,
             RunEnd::Unreachable => MAX_FAILURES_IN_A_ROW,
             RunEnd::Unused => {
                 if let Some(bucket) = &mut self.bucket {
@@ -212,16 +223,12 @@
             }
             RunEnd::Rejected | RunEnd::Abandoned => return,
         };
-        self.failures_in_a_row = failures.min(MAX_FAILURES_IN_A_ROW);
-        if failures == 0 {
-            self.pause = Duration::ZERO;
-            self.paused_until = None;
-        } else if failures >= MAX_FAILURES_IN_A_ROW {
+        self.failure_share += LEARNING_RATE * (1.0 - self.failure_share);
+        self.failures_in_a_row = (self.failures_in_a_row + added).min(MAX_FAILURES_IN_A_ROW);
+        if added > 0 && self.failures_in_a_row == MAX_FAILURES_IN_A_ROW {
             self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
             self.paused_until = Some(now + self.pause);
         }
-        let failed = if failures == 0 { 0.0 } else { 1.0 };
-        self.failure_share += LEARNING_RATE * (failed - self.failure_share);
     }
 
     pub(super) fn learn_slowness(&mut self, expected_s: f64, elapsed: Duration) {
