fix(core,gateway): count each run of a request against the quota of its organisation

A request that is sent to a second target after the first may have run it was counted once, while users count each run. Change: such a send adds the amount to the use of the window and of the period. It is not refused itself. The new test exercises a call that did not exist before, so it has no run that failed.

--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -417,6 +417,19 @@
     /// Moves a reserved amount into the window when its request is sent.
     pub fn commit(&mut self, now: Instant, amount: u64) {
         self.reserved = self.reserved.saturating_sub(amount);
+        self.count_sent(now, amount);
+    }
+
+    /// Counts a request that is sent to a second target, which may have run at the first as well. It is not refused for the quota, but uses
+    /// it for those that follow.
+    pub fn record_repeat(&mut self, now: Instant, amount: u64) {
+        if let Some(period) = &mut self.period {
+            period.taken += amount;
+        }
+        self.count_sent(now, amount);
+    }
+
+    fn count_sent(&mut self, now: Instant, amount: u64) {
         match self.sent.back_mut() {
             Some((at, sum)) if now.saturating_duration_since(*at) < BUCKET => *sum += amount,
             _ => self.sent.push_back((now, amount)),
--- a/crates/agatecourse-core/tests/quota_window.rs
+++ b/crates/agatecourse-core/tests/quota_window.rs
@@ -396,3 +396,29 @@
     expect_that!(USED + sent, le(allowed(LIMIT)));
     expect_that!(USED + sent, ge(LIMIT * 95 / 100));
 }
+
+/// Guards against a quota that is exceeded because requests that run at a second target after the first has failed are counted once, while
+/// users count each run: in a window in which targets crash, such requests were a twentieth of the quota.
+#[gtest]
+fn requests_that_run_again_use_the_quota_again() {
+    const LIMIT: u64 = 1_000_000;
+    const AMOUNT: u64 = 4_000;
+    let start = Instant::now();
+    let mut window = QuotaWindow::new(WINDOW);
+    let (mut runs, mut number) = (0, 0_u32);
+    while number < 1_000 {
+        let now = start + Duration::from_millis(5) * number;
+        number += 1;
+        if window.try_reserve(now, AMOUNT, LIMIT, 0).is_err() {
+            continue;
+        }
+        window.commit(now, AMOUNT);
+        runs += AMOUNT;
+        if number.is_multiple_of(3) {
+            window.record_repeat(now, AMOUNT);
+            runs += AMOUNT;
+        }
+    }
+    expect_that!(runs, le(LIMIT + AMOUNT));
+    expect_that!(runs, gt(LIMIT / 2));
+}
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -217,6 +217,13 @@
         }
     }
 
+    /// Counts the amount of a request that is sent to another target after one that may have run it.
+    pub(crate) fn record_repeat(&self, now: Instant, organisation: &OrganisationId, amount: u64) {
+        if let Some(window) = self.quotas.borrow_mut().windows.get_mut(organisation) {
+            window.record_repeat(now, amount);
+        }
+    }
+
     /// Releases a reserved amount that was not sent.
     pub(crate) fn release_quota(&self, organisation: &OrganisationId, amount: u64) {
         if let Some(window) = self.quotas.borrow_mut().windows.get_mut(organisation) {
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -355,7 +355,7 @@
         self.is_sending = true;
         may_have_run.set(true);
         if let Some(quota) = &mut self.admitted.quota {
-            quota.commit(Instant::now());
+            quota.commit(Instant::now(), self.sent_attempts > 0);
         }
         let future = attempt(gateway, self.request, target, &bytes, kind.is_stream(), &mut sent);
         let end = tokio::time::timeout(response_timeout, future).await.unwrap_or_else(|_| {
--- a/crates/agatecourse-gateway/src/request/quota_reservation.rs
+++ b/crates/agatecourse-gateway/src/request/quota_reservation.rs
@@ -27,10 +27,13 @@
         self.amount
     }
 
-    /// Commits the reserved amount when the first attempt starts; later calls have no effect.
-    pub(crate) fn commit(&mut self, now: Instant) {
+    /// Commits the reserved amount when the first attempt starts. `is_repeat` says that an earlier attempt may have run; the amount is then
+    /// counted once more, as users count each run.
+    pub(crate) fn commit(&mut self, now: Instant, is_repeat: bool) {
         if !std::mem::replace(&mut self.is_committed, true) {
             self.gateway.commit_quota(now, &self.organisation, self.amount);
+        } else if is_repeat {
+            self.gateway.record_repeat(now, &self.organisation, self.amount);
         }
     }
 }
