--- a/review/standin/case_leaving.rs
+++ b/review/standin/case_leaving.rs
@@ -17,10 +17,10 @@
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 const CLIENT_DEADLINE: Duration = Duration::from_secs(12);
 /// Time from the start of the clients to their last requests.
-const PLAY_TIME: Duration = Duration::from_secs(88);
+const PLAY_TIME: Duration = Duration::from_secs(94);
 /// Replicas that are taken away at once, a share of 0.15, and the time between two such events.
 const TAKEN_AWAY: usize = 3;
-const TAKE_PERIOD: Duration = Duration::from_secs(5);
+const TAKE_PERIOD: Duration = Duration::from_secs(3);
 /// Time from the notice, at which a replica reports that it is draining, to its end.
 const NOTICE: Duration = Duration::from_secs(2);
 /// Time from the end of replicas to the start of others.
