--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -26,6 +26,10 @@
             server::run(&args[1..]);
             return ExitCode::SUCCESS;
         }
+        ["guard", ..] => {
+            fleet::guard(&args[1..]);
+            return ExitCode::SUCCESS;
+        }
         ["leaving", record] => case_leaving::play(record, has_trouble),
         ["rollout-streams", record] => case_rollout::play_streams(record, has_trouble),
         ["rollout-route", record] => case_rollout::play_route(record, has_trouble),
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -78,7 +78,8 @@
 /// Writes one line of the record: Unix milliseconds, server, request, path, what happened.
 fn log(server: &str, request: &str, path: &str, what: &str) {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-    println!("{now} server {server} request {request} {path} {what}");
+    // The process that reads the lines may have ended.
+    let _ = writeln!(std::io::stdout(), "{now} server {server} request {request} {path} {what}");
 }
 
 impl Server {
