review: case 1, a request that crashes its replicas in mid-stream is never refused (BUDGET)

Cause: record_sound clears the keys of a request once its stream goes on after its first events, and relay_stream checks for a crash only if it has not gone on. The crash ledger never hears of a crash in mid-stream.

Change: a script with its claim.

--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -40,7 +40,23 @@
     key: &str,
     headers: &str,
 ) -> Outcome {
-    let outcome = exchange(node, method, id, path, deadline, key, headers).unwrap_or_default();
+    request_with_body(record, node, method, id, path, deadline, key, headers, "work")
+}
+
+/// Sends a request with another body as well, if its method is POST.
+pub fn request_with_body(
+    record: &Record,
+    node: SocketAddr,
+    method: &str,
+    id: &str,
+    path: &str,
+    deadline: Duration,
+    key: &str,
+    headers: &str,
+    body: &str,
+) -> Outcome {
+    let outcome =
+        exchange(node, method, id, path, deadline, key, headers, body).unwrap_or_default();
     let last = outcome.events.last().copied();
     record.add(&format!(
         "client request {id} {path} by node {node}: status {}, {} events, last {last:?}, {}",
@@ -59,12 +75,17 @@
     deadline: Duration,
     key: &str,
     headers: &str,
+    body: &str,
 ) -> Option<Outcome> {
     let until = Instant::now() + deadline;
     let mut stream = TcpStream::connect_timeout(&node, Duration::from_secs(1)).ok()?;
     let _ = stream.set_nodelay(true);
-    let length = if method == "POST" { "Content-Length: 4\r\n" } else { "" };
-    let body = if method == "POST" { "work" } else { "" };
+    let body = if method == "POST" { body } else { "" };
+    let length = if method == "POST" {
+        format!("Content-Length: {}\r\n", body.len())
+    } else {
+        String::new()
+    };
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\nAuthorization: Token {key}\r\n{headers}{length}\r\n{body}",
         deadline.as_millis()
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -129,6 +129,11 @@
         let _ = writeln!(self.commands, "{line}");
     }
 
+    /// Returns whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Ends the process at once, and removes its row.
     pub fn stop(&mut self, store: &Store) {
         self.command("exit");
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
+mod case_crashing;
 mod case_head;
 mod case_leaving;
 mod case_rollout;
@@ -30,6 +31,7 @@
             fleet::guard(&args[1..]);
             return ExitCode::SUCCESS;
         }
+        ["crashing", record] => case_crashing::play(record, has_trouble),
         ["leaving", record] => case_leaving::play(record, has_trouble),
         ["rollout-streams", record] => case_rollout::play_streams(record, has_trouble),
         ["rollout-route", record] => case_rollout::play_route(record, has_trouble),
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -15,6 +15,10 @@
 const BAD_EVERY: u64 = 2;
 /// Events after which a bad version breaks a stream off.
 const EVENTS_BEFORE_BREAK: u64 = 3;
+/// Body of a request that crashes each server that begins to run it.
+pub const CRASHING_BODY: &str = "crash";
+/// Events after which such a request crashes its server.
+const EVENTS_BEFORE_CRASH: u64 = 3;
 /// Requests that wait for a slot.
 const QUEUE: usize = 30;
 /// Time that a plain request takes.
@@ -128,7 +132,8 @@
         let stays_open = match path.rsplit('/').next().and_then(|text| text.parse::<u64>().ok()) {
             Some(events) => {
                 let after = request.header("last-event-id").and_then(|text| text.parse().ok());
-                self.write_stream(stream, &id, &path, (after.unwrap_or(0), events), until)
+                let crashes = request.body == CRASHING_BODY.as_bytes();
+                self.write_stream(stream, &id, &path, (after.unwrap_or(0), events), until, crashes)
             }
             None => {
                 thread::sleep(PLAIN_WORK);
@@ -194,6 +199,7 @@
         path: &str,
         (after, last): (u64, u64),
         until: Instant,
+        crashes: bool,
     ) -> bool {
         let number = self.streams.fetch_add(1, Ordering::Relaxed);
         let is_unframed =
@@ -227,6 +233,15 @@
                 return false;
             }
             bytes.clear();
+            if crashes && event == after + EVENTS_BEFORE_CRASH {
+                log(
+                    &self.id,
+                    id,
+                    path,
+                    &format!("crashes the server after event {event} of {last}"),
+                );
+                std::process::exit(1);
+            }
             if breaks && event == after + EVENTS_BEFORE_BREAK {
                 log(&self.id, id, path, &format!("breaks off after event {event} of {last}"));
                 return false;
