fix(core,gateway,platform): count crashes of targets in mid-stream, clear keys by complete answers only

Cause: an answer that went on after its first events was taken for sound. It cleared the keys of its request on all nodes, and a stream that broke off later was not checked for a crash of its target. So a request that crashes its targets in mid-stream was never refused. An answer of status 500 and above cleared the keys as well.

Change: each stream that breaks off is checked for a crash; once it has gone on, the hash of the whole request counts, and before that the parts of the prompt as well. Only an answer that is complete and has not failed clears keys. An answer that goes on still ends the time for which requests with a suspect wait for each other, so that sound requests do not wait longer than before; nodes tell each other of it with a new message. A resumed stream does not wait for the check.

The simulation of crashing_parts.rs now reports mid-stream runs and clears by complete answers, as the nodes do; its bounds are unchanged.

--- a/crates/agatecourse-core/src/request/crash_ledger/crash_report.rs
+++ b/crates/agatecourse-core/src/request/crash_ledger/crash_report.rs
@@ -1,7 +1,7 @@
 use super::{SuspectKeys, TargetHash};
 use std::time::Instant;
 
-/// A target crashed while it ran a request whose answer had not begun.
+/// A target crashed while it ran a request whose answer was not complete.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashReport {
     /// Target that crashed.
--- a/crates/agatecourse-core/src/request/crash_ledger/ledger.rs
+++ b/crates/agatecourse-core/src/request/crash_ledger/ledger.rs
@@ -28,7 +28,7 @@
     quarantined: BTreeMap<SuspectKey, QuarantinedKey>,
     /// Keys quarantined since they were last taken.
     newly_quarantined: Vec<QuarantinedKey>,
-    /// Time at which an answer to a request with the key last began, for keys that were suspects.
+    /// Time at which an answer to a request with the key was last complete, for keys that were suspects.
     cleared: BTreeMap<SuspectKey, Instant>,
 }
 
@@ -64,7 +64,7 @@
         is_new
     }
 
-    /// Clears the keys of a request whose answer has begun; returns those that were suspects.
+    /// Clears the keys of a request whose answer is complete; returns those that were suspects.
     pub fn clear(&mut self, now: Instant, keys: &[SuspectKey]) -> SuspectKeys {
         if self.crashes.is_empty() && self.quarantined.is_empty() {
             return SuspectKeys::new();
@@ -87,6 +87,25 @@
         changed
     }
 
+    /// Records that the answer to a request with these keys has gone on after its first events; returns the suspects for which that
+    /// is new since the last crash.
+    ///
+    /// Requests with such a suspect do not wait for each other any more. Its crashes still count, because the request may crash its
+    /// target later in its run.
+    pub fn record_progress(&mut self, keys: &[SuspectKey]) -> SuspectKeys {
+        let mut changed = SuspectKeys::new();
+        for key in keys.iter().filter(|key| !self.quarantined.contains_key(key)) {
+            let mut is_new = false;
+            for crash in &mut self.crashes {
+                is_new |= crash.record_progress(*key);
+            }
+            if is_new {
+                changed.push(*key);
+            }
+        }
+        changed
+    }
+
     /// Takes over a quarantined key that a peer or an earlier process knows, unless it was cleared since.
     pub fn adopt(&mut self, now: Instant, entry: QuarantinedKey) {
         let is_cleared =
@@ -131,7 +150,9 @@
             {
                 return quarantined(*key, crashes, CRASH_LIFETIME);
             }
-            suspects.push((crashes, *key));
+            if self.crashes.iter().any(|crash| crash.awaits_trial(*key)) {
+                suspects.push((crashes, *key));
+            }
         }
         if suspects.is_empty() {
             return CrashVerdict::Clear;
--- a/crates/agatecourse-core/tests/crash_ledger.rs
+++ b/crates/agatecourse-core/tests/crash_ledger.rs
@@ -46,6 +46,29 @@
     expect_that!(is_quarantined(&own, now + Duration::from_secs(601), &[7]), eq(false));
 }
 
+/// Guards against a request that crashes one target after the other in mid-stream, and is never refused because each of its answers
+/// went on before. Requests with its keys wait for each other only until then.
+#[gtest]
+fn answer_that_goes_on_ends_the_trial_and_keeps_the_crashes() {
+    let start = Instant::now();
+    let mut ledger = CrashLedger::new();
+    for number in 1..=3 {
+        let now = start + Duration::from_secs(u64::from(number));
+        expect_that!(is_quarantined(&ledger, now, &[7]), eq(false));
+        crash(&mut ledger, start, number, &[7, 100 + u64::from(number)]);
+        if number < 3 {
+            expect_that!(
+                ledger.verdict(now, &[7]),
+                matches_pattern!(CrashVerdict::Suspect(len(eq(1))))
+            );
+            expect_that!(ledger.record_progress(&[7]).to_vec(), elements_are![eq(&7)]);
+            expect_that!(ledger.verdict(now, &[7]), eq(&CrashVerdict::Clear));
+            expect_that!(ledger.record_progress(&[7]).to_vec(), is_empty());
+        }
+    }
+    expect_that!(is_quarantined(&ledger, start + Duration::from_secs(4), &[7]), eq(true));
+}
+
 /// Guards against the refusal of identical requests because one target crashed while running all of them.
 #[gtest]
 fn one_crashed_target_counts_once() {
--- a/crates/agatecourse-core/tests/crashing_parts.rs
+++ b/crates/agatecourse-core/tests/crashing_parts.rs
@@ -39,6 +39,8 @@
     targets: usize,
     requests_per_s: f64,
     deadly_share: f64,
+    /// True if all deadly requests are one that comes again, which crashes targets after its answer has gone on and has no deadly part.
+    crashes_late: bool,
     /// Share of the messages between nodes that are lost.
     loss: f64,
     /// True if the nodes are replaced one after the other from 8 s on.
@@ -60,6 +62,9 @@
     OwnCrash(usize),
     Report(usize, CrashReport),
     Cleared(usize, SuspectKeys),
+    Progressed(usize, SuspectKeys),
+    /// A deadly run crashes its target in mid-stream.
+    LateCrash(JobKey),
     Heartbeat(usize),
     Restart(usize),
     Timer,
@@ -175,7 +180,7 @@
             Event::Arrive => self.arrive(),
             Event::Grant(key, target) => self.send(&key, target),
             Event::Progress(key, is_second) => self.progress(&key, is_second),
-            Event::End(key) => self.end(&key, RunEnd::Answered),
+            Event::End(key) => self.complete(&key),
             Event::Checked(key, target, ended) => self.record_crash(&key, target, ended),
             Event::Up(target) => self.is_down[target] = false,
             Event::OwnCrash(target) => self.crash(target),
@@ -183,6 +188,15 @@
                 self.ledgers[node].record(self.now, report);
             }
             Event::Cleared(node, keys) => self.clear(node, &keys),
+            Event::Progressed(node, keys) => {
+                let released = self.ledgers[node].record_progress(&keys);
+                self.clear_in_queue(node, &released);
+            }
+            Event::LateCrash(key) => {
+                if let Some(target) = self.requests.get(&key).and_then(|request| request.target) {
+                    self.crash(target);
+                }
+            }
             Event::Heartbeat(node) => self.send_heartbeat(node),
             Event::Restart(node) => self.ledgers[node] = CrashLedger::new(),
             Event::Timer => {
@@ -199,7 +213,9 @@
         let first_part = if is_deadly { 0 } else { self.pick(FIRST_PARTS as usize) as u64 };
         self.next_number += 1;
         let mut keys = SuspectKeys::from_slice(&[1_000_000 + self.next_number, 100 + first_part]);
-        if is_deadly {
+        if is_deadly && self.day.crashes_late {
+            keys[0] = DEADLY_PART;
+        } else if is_deadly {
             keys.push(DEADLY_PART);
         }
         let node = self.pick(self.day.nodes);
@@ -307,18 +323,22 @@
     fn progress(&mut self, key: &JobKey, is_second: bool) {
         let Some(request) = self.requests.get_mut(key) else { return };
         let Some(target) = request.target else { return };
-        if request.is_deadly {
+        if request.is_deadly && !self.day.crashes_late {
             return self.crash(target);
         }
         if is_second {
             request.goes_on = true;
-            let (node, keys) = (request.node, request.keys.clone());
-            let cleared = self.ledgers[node].clear(self.now, &keys);
-            if !cleared.is_empty() {
-                self.clear_in_queue(node, &cleared);
-                self.broadcast(node, |peer| Event::Cleared(peer, cleared.clone()));
+            let (node, keys, is_deadly) = (request.node, request.keys.clone(), request.is_deadly);
+            let released = self.ledgers[node].record_progress(&keys);
+            if !released.is_empty() {
+                self.clear_in_queue(node, &released);
+                self.broadcast(node, |peer| Event::Progressed(peer, released.clone()));
+            }
+            if is_deadly {
+                self.schedule(Duration::from_millis(100), Event::LateCrash(key.clone()));
+            } else {
+                self.schedule(Duration::from_millis(500), Event::End(key.clone()));
             }
-            self.schedule(Duration::from_millis(500), Event::End(key.clone()));
         } else {
             request.has_begun = true;
             let request = request.clone();
@@ -329,6 +349,21 @@
         }
     }
 
+    /// Ends a run whose target has sent its whole answer; the target may have crashed before.
+    fn complete(&mut self, key: &JobKey) {
+        let Some(request) = self.requests.get(key).filter(|request| request.target.is_some())
+        else {
+            return;
+        };
+        let (node, keys) = (request.node, request.keys.clone());
+        let cleared = self.ledgers[node].clear(self.now, &keys);
+        if !cleared.is_empty() {
+            self.clear_in_queue(node, &cleared);
+            self.broadcast(node, |peer| Event::Cleared(peer, cleared.clone()));
+        }
+        self.end(key, RunEnd::Answered);
+    }
+
     fn clear(&mut self, node: usize, keys: &[SuspectKey]) {
         let cleared = self.ledgers[node].clear(self.now, keys);
         self.clear_in_queue(node, &cleared);
@@ -354,22 +389,21 @@
         for (key, request) in &mut self.requests {
             if on_target(&request) {
                 request.target = None;
-                lost.push((key.clone(), request.goes_on));
+                lost.push(key.clone());
             }
         }
-        for (key, goes_on) in lost {
-            if goes_on {
-                self.end(&key, RunEnd::Broken);
-            } else {
-                self.schedule(CHECK_TIME, Event::Checked(key, target as TargetHash, self.now));
-            }
+        for key in lost {
+            self.schedule(CHECK_TIME, Event::Checked(key, target as TargetHash, self.now));
         }
     }
 
     fn record_crash(&mut self, key: &JobKey, target: TargetHash, ended: Instant) {
         let Some(request) = self.requests.get(key).cloned() else { return };
-        let report =
-            CrashReport { target, started: request.sent, ended, keys: request.keys.clone() };
+        let mut keys = request.keys.clone();
+        if request.goes_on {
+            keys.truncate(1);
+        }
+        let report = CrashReport { target, started: request.sent, ended, keys };
         if self.ledgers[request.node].record(self.now, report.clone()) {
             self.broadcast(request.node, |peer| Event::Report(peer, report.clone()));
         }
@@ -415,6 +449,7 @@
         targets: 9,
         requests_per_s: 30.0,
         deadly_share: 0.05,
+        crashes_late: false,
         loss: 0.0,
         has_restarts: false,
         own_crashes_per_s: 0.0,
@@ -446,6 +481,15 @@
     }
 }
 
+/// Pattern: a request that comes again crashes targets after its answer has gone on for a while, among streams that run longer. Guards
+/// against an answer that is taken for sound before its end, so that the request is never found.
+#[gtest]
+fn request_that_crashes_targets_in_mid_stream_is_contained() {
+    for seed in 0..20 {
+        expect_contained(Day { crashes_late: true, ..day() }, seed);
+    }
+}
+
 /// Pattern: a fifth of the requests has the deadly part. Guards against many crashes while nodes learn of the part.
 #[gtest]
 fn deadly_part_in_many_requests_is_contained() {
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -248,7 +248,10 @@
                     actions.push(CoordinatorAction::Place { number, placement });
                 }
             }
-            PeerMessage::Heartbeat(_) | PeerMessage::Crash(_) | PeerMessage::Cleared { .. } => {}
+            PeerMessage::Heartbeat(_)
+            | PeerMessage::Crash(_)
+            | PeerMessage::Cleared { .. }
+            | PeerMessage::Progressed { .. } => {}
         }
     }
 
--- a/crates/agatecourse-gateway/src/process/gateway_crashes.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_crashes.rs
@@ -9,6 +9,9 @@
 
 /// Maximum number of crashes in a heartbeat, so that the message fits a datagram.
 const MAX_HEARTBEAT_CRASHES: usize = 4;
+/// Maximum number of suspects in the crashes of a heartbeat, so that the message fits a datagram; a request has up to 64, and
+/// the other requests of its crash follow in later heartbeats.
+const MAX_HEARTBEAT_SUSPECTS: usize = 48;
 /// Maximum number of quarantined keys in a heartbeat, so that the message fits a datagram.
 const MAX_HEARTBEAT_KEYS: usize = 12;
 
@@ -71,7 +74,7 @@
         }
     }
 
-    /// Records that an answer to a request with these keys has begun and went on; tells the other nodes if that clears one.
+    /// Records that an answer to a request with these keys is complete; tells the other nodes if that clears one.
     pub(crate) fn record_sound(&self, now: Instant, keys: &[SuspectKey]) {
         let cleared = self.clear_suspects(now, &self.settings.node, keys);
         if !cleared.is_empty() {
@@ -84,13 +87,30 @@
         self.clear_suspects(now, from, keys);
     }
 
+    /// Records that an answer to a request with these keys has gone on after its first events, so that requests with them no longer
+    /// wait for each other; tells the other nodes if that is new.
+    pub(crate) fn record_progress(&self, now: Instant, keys: &[SuspectKey]) {
+        let progressed = self.release_suspects(now, &self.settings.node, keys);
+        if !progressed.is_empty() {
+            broadcast(self, PeerMessage::Progressed { keys: progressed });
+        }
+    }
+
+    /// Records that a peer has seen answers go on.
+    pub(crate) fn record_peer_progress(&self, now: Instant, from: &NodeId, keys: &[SuspectKey]) {
+        self.release_suspects(now, from, keys);
+    }
+
     /// Returns some of the known crashes and quarantined keys for a heartbeat; forgets those that are too old.
     pub(crate) fn heartbeat_crash_notices(
         &self,
         now: Instant,
     ) -> (Vec<CrashNotice>, Vec<QuarantineNotice>) {
         self.crashes.borrow_mut().expire(now);
-        self.crash_notices(now, MAX_HEARTBEAT_CRASHES, MAX_HEARTBEAT_KEYS)
+        let round = self.crash_notice_round.get();
+        let (notices, quarantined) =
+            self.crash_notices(now, MAX_HEARTBEAT_CRASHES, MAX_HEARTBEAT_KEYS);
+        (limit_suspects(notices, round, MAX_HEARTBEAT_SUSPECTS), quarantined)
     }
 
     /// Returns the newest crashes and some of the older ones and of the quarantined keys; each call returns others, until all
@@ -147,6 +167,15 @@
         cleared
     }
 
+    fn release_suspects(&self, now: Instant, source: &str, keys: &[SuspectKey]) -> SuspectKeys {
+        let progressed = self.crashes.borrow_mut().record_progress(keys);
+        if !progressed.is_empty() {
+            info!(self.log, "answers to suspects go on"; "keys" => format!("{progressed:x?}"), "source" => source);
+            self.clear_queued_suspects(now, &progressed);
+        }
+        progressed
+    }
+
     /// Logs the keys that were quarantined by what `source` has reported, and wakes the requests that wait.
     fn log_quarantined(&self, now: Instant, source: &str) {
         let new = self.crashes.borrow_mut().take_newly_quarantined();
@@ -162,6 +191,28 @@
     }
 }
 
+/// Returns as many of the notices as have at most `max_suspects` keys together, but at least one, starting at another notice in each
+/// round.
+fn limit_suspects(
+    mut notices: Vec<CrashNotice>,
+    round: usize,
+    max_suspects: usize,
+) -> Vec<CrashNotice> {
+    if notices.iter().map(|notice| notice.keys.len()).sum::<usize>() <= max_suspects {
+        return notices;
+    }
+    let start = round % notices.len();
+    notices.rotate_left(start);
+    let mut suspects = 0;
+    let fitting = notices.iter().take_while(|notice| {
+        suspects += notice.keys.len();
+        suspects <= max_suspects
+    });
+    let count = fitting.count().max(1);
+    notices.truncate(count);
+    notices
+}
+
 fn age_ms(now: Instant, at: Instant) -> u64 {
     now.saturating_duration_since(at).as_millis() as u64
 }
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -96,7 +96,7 @@
     pub started_age_ms: u64,
     /// Time since the target crashed, in milliseconds.
     pub ended_age_ms: u64,
-    /// Keys of requests on the target whose answer had not begun.
+    /// Keys of requests on the target whose answer was not complete.
     pub keys: SuspectKeys,
 }
 
@@ -229,11 +229,17 @@
     },
     /// A target crashed with a request of the sender on it.
     Crash(CrashNotice),
-    /// Answers to requests with these keys have begun since targets crashed with them.
+    /// Answers to requests with these keys were complete since targets crashed with them.
     Cleared {
         /// Keys that are no longer suspects.
         keys: SuspectKeys,
     },
+    // Nodes of earlier versions can't decode what follows, and drop it.
+    /// Answers to requests with these keys have gone on after their first events since targets crashed with them.
+    Progressed {
+        /// Suspects under which requests no longer wait for each other.
+        keys: SuspectKeys,
+    },
 }
 
 /// Datagram between nodes: a message with the name of its sender.
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -109,6 +109,9 @@
         PeerMessage::Cleared { keys } => {
             gateway.record_peer_cleared(now, &envelope.from, &keys);
         }
+        PeerMessage::Progressed { keys } => {
+            gateway.record_peer_progress(now, &envelope.from, &keys);
+        }
         message => gateway.on_queue_message(now, &envelope.from, message),
     }
 }
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -402,7 +402,13 @@
         match end {
             AttemptEnd::Complete { head, body } => {
                 let is_failure = head.status >= 500;
-                self.gateway.record_sound(Instant::now(), &self.admitted.suspect_keys);
+                let (now, keys) = (Instant::now(), &self.admitted.suspect_keys);
+                if is_failure {
+                    // The target may have failed the request before it ran the part that crashes targets.
+                    self.gateway.record_progress(now, keys);
+                } else {
+                    self.gateway.record_sound(now, keys);
+                }
                 guard.end(if is_failure { RunEnd::Failed } else { RunEnd::Answered });
                 let may_retry = is_failure && kind.is_repeatable() && self.try_take_retry();
                 if self.relay.has_started() {
@@ -461,7 +467,7 @@
                 ))
             }
             AttemptEnd::Lost { reason } => {
-                self.end_lost_run(target, guard).await;
+                self.end_lost_run(target, guard, false).await;
                 if kind.is_repeatable() && self.try_take_retry() {
                     return NextStep::Retry;
                 }
@@ -497,7 +503,7 @@
                 &mut connection,
                 caller,
                 options,
-                || gateway.record_sound(Instant::now(), keys),
+                || gateway.record_progress(Instant::now(), keys),
                 || gateway.try_retry(&self.admitted.service),
             )
             .await;
@@ -532,11 +538,7 @@
                 gateway.pool.borrow_mut().remove_target(&target.id);
                 warn!(gateway.log, "stream broke"; "request" => self.request.id(&gateway.header_names),
                     "target" => &target.id, "reason" => &reason, "last_event" => self.relay.last_event_id(), "answer_went_on" => self.relay.answer_goes_on());
-                if self.relay.answer_goes_on() {
-                    guard.end(RunEnd::Broken);
-                } else {
-                    self.end_lost_run(target, guard).await;
-                }
+                self.end_lost_run(target, guard, self.relay.answer_goes_on()).await;
                 // A stalled stream is given up only after the retry was taken.
                 if is_stalled || (self.admitted.route.kind.is_repeatable() && self.try_take_retry())
                 {
@@ -579,15 +581,21 @@
     /// Ends the attempt of a lost run as soon as it is known whether its target has crashed. If a retry may follow, waits for that, so
     /// that the retry takes account of the crash.
     ///
-    /// The attempts of requests without prompt parts end at once, as their objectives are shorter than the check.
-    async fn end_lost_run(&self, target: &Rc<Target>, guard: AttemptGuard) {
+    /// The attempts of requests without prompt parts end at once, as their objectives are shorter than the check. A stream that went
+    /// on is resumed without the wait, which would add to the pause between its events.
+    async fn end_lost_run(&self, target: &Rc<Target>, guard: AttemptGuard, went_on: bool) {
+        let mut keys = self.admitted.suspect_keys.clone();
+        let has_parts = keys.len() > 1;
+        if went_on {
+            // The parts that many running requests share would be on each crash of a target.
+            keys.truncate(1);
+        }
         let report = CrashReport {
             target: stable_hash(&[target.address.to_string().as_bytes()]) as u32,
             started: self.sent_at,
             ended: Instant::now(),
-            keys: self.admitted.suspect_keys.clone(),
+            keys,
         };
-        let has_parts = report.keys.len() > 1;
         let may_retry = self.admitted.route.kind.is_repeatable() && self.has_attempts_left();
         let request = self.request.id(&self.gateway.header_names).unwrap_or_default().to_string();
         let check = check_for_crash(Rc::clone(self.gateway), Rc::clone(target), request, report);
@@ -600,7 +608,7 @@
             let has_crashed = check.await;
             guard.end(if has_crashed { RunEnd::Unreachable } else { RunEnd::Broken });
         });
-        if may_retry {
+        if may_retry && !went_on {
             // The check goes on after the time that a retry waits for it.
             let _ = tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await;
         }
