fix(gateway): take a body that ends with its connection for complete only while its target runs

Cause: `has_ended` answered "no" for a target that is not in the list of usable targets, without a try, and when the new connection timed out. So a stream or answer without length and chunks that the end of a leaving, removed or silent target cut was passed on as complete.

--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -90,6 +90,9 @@
 /// Weight of the newest request in the moving average of a route's expected response length.
 const MEAN_SIZE_WEIGHT: f64 = 0.05;
 
+/// Time after a pause of the process for which it may still read what came meanwhile.
+const PAUSE_BACKLOG_TIME: Duration = Duration::from_secs(1);
+
 type DocumentHandler = Box<dyn Fn(DocumentId, &Document)>;
 
 /// State shared by the tasks of a node, which all run on one thread.
@@ -107,6 +110,8 @@
     pub(super) deployment: RefCell<Option<Rc<Deployment>>>,
     pub(super) targets: RefCell<BTreeMap<TargetId, Rc<Target>>>,
     targets_updated: Cell<Instant>,
+    /// End of the last pause of the process.
+    last_pause_end: Cell<Option<Instant>>,
     pub(super) coordinator: RefCell<Coordinator>,
     placements: RefCell<BTreeMap<JobNumber, oneshot::Sender<Placement>>>,
     pub(super) quotas: RefCell<Quotas>,
@@ -180,6 +185,7 @@
             deployment: RefCell::default(),
             targets: RefCell::default(),
             targets_updated: Cell::new(now),
+            last_pause_end: Cell::new(None),
             placements: RefCell::default(),
             quotas: RefCell::default(),
             bound_wanted: Notify::new(),
@@ -267,6 +273,28 @@
         self.targets.borrow().get(id).cloned()
     }
 
+    /// Returns whether another process is known to have the id or the address of a target.
+    pub(crate) fn is_replaced(&self, target: &Target) -> bool {
+        let is_other = |known: &Target| {
+            let is_same_process = known.id == target.id
+                && known.address == target.address
+                && known.started_unix_ms == target.started_unix_ms;
+            !is_same_process && (known.id == target.id || known.address == target.address)
+        };
+        self.targets.borrow().values().any(|known| is_other(known))
+    }
+
+    /// Records that the process was paused until now, for example frozen.
+    pub(super) fn record_pause(&self, now: Instant) {
+        self.last_pause_end.set(Some(now));
+    }
+
+    /// Returns whether the process was paused and may still read what came meanwhile.
+    pub(crate) fn was_paused_recently(&self, now: Instant) -> bool {
+        let end = self.last_pause_end.get();
+        end.is_some_and(|end| now.saturating_duration_since(end) < PAUSE_BACKLOG_TIME)
+    }
+
     /// Returns whether a target is known and accepts requests.
     pub fn has_target(&self, id: &TargetId) -> bool {
         self.targets.borrow().contains_key(id)
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -162,6 +162,7 @@
         let pause = now.saturating_duration_since(last_call.replace(now));
         if pause > PAUSE_THRESHOLD {
             warn!(gateway.log, "process was paused"; "pause_ms" => pause.as_millis() as u64);
+            gateway.record_pause(now);
             gateway.members.borrow_mut().reset_heartbeat_times(now, pause);
             gateway.clear_peer_state();
         }
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -1,5 +1,5 @@
 use super::CallerRequest;
-use super::crash_check::has_ended;
+use super::crash_check::still_runs;
 use crate::connection::{
     BodyFraming, BodyReader, HeaderNames, ResponseError, ResponseHead, TargetConnection,
 };
@@ -149,7 +149,7 @@
             return Err(format!("answer exceeds {MAX_RESPONSE_BYTES} bytes"));
         }
     }
-    if head.framing == BodyFraming::UntilClose && has_ended(gateway, target).await {
+    if head.framing == BodyFraming::UntilClose && !still_runs(gateway, target).await {
         return Err("target ended with the connection".to_string());
     }
     return_to_pool(gateway, target, connection, head);
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -3,7 +3,7 @@
 use super::admission::{AdmissionError, AdmittedRequest, admit, quarantine_reason};
 use super::attempt::{AttemptEnd, attempt, return_to_pool};
 use super::attempt_guard::AttemptGuard;
-use super::crash_check::{check_for_crash, has_ended};
+use super::crash_check::{check_for_crash, still_runs};
 use super::outbound::outbound_request;
 use super::relay::{Relay, RelayEnd, RelayOptions};
 use super::{CallerRequest, Reply, serialize_response};
@@ -510,7 +510,7 @@
         let is_stalled = matches!(end, RelayEnd::Stalled { .. });
 
         if matches!(end, RelayEnd::Complete) {
-            end = if head.framing == BodyFraming::UntilClose && has_ended(gateway, target).await {
+            end = if head.framing == BodyFraming::UntilClose && !still_runs(gateway, target).await {
                 RelayEnd::TargetFailed { reason: "target ended with the connection".to_string() }
             } else if self.relay.finish(caller).await.is_err() {
                 RelayEnd::CallerDisconnected
