fix(gateway): write no body in answer to HEAD, nor with status 204 and 304

Cause: errors of the node were serialized with their body whatever the method of the request was, so the caller took the body for the start of the next answer on the connection. Answers of targets to HEAD were passed on with a length of 0, and on routes of streams an answer without a body (HEAD, 204) was relayed as a stream, with chunks after its head. The internal interfaces wrote bodies in answer to HEAD too.

Change: all answers but streams go through `CompleteResponse`, which is given the method of the request. The head is that of GET; the length that a target states is kept. An answer without a body on the route of a stream is a complete answer. A complete answer that should have resumed a stream is a failure of that run, which clears no keys and may be retried.

--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -1,5 +1,6 @@
 use super::{
-    BodyReader, HeadError, RequestHead, parse_request_head, read_some, set_socket_options,
+    BodyReader, CompleteResponse, HeadError, RequestHead, parse_request_head, read_some,
+    set_socket_options, unparsed_method,
 };
 use crate::process::Gateway;
 use crate::request::{CallerRequest, Reply, error_response, process_request};
@@ -86,14 +87,15 @@
             HeadReadResult::Head(head, arrived) => (*head, arrived),
             HeadReadResult::Closed => return false,
             HeadReadResult::Rejected(status, code, reason) => {
-                self.reject(status, code, &reason).await;
+                let method = unparsed_method(&self.buffer).to_string();
+                self.reject(&method, status, code, &reason).await;
                 return false;
             }
         };
         let body = match self.read_body(&head, &limits).await {
             Ok(body) => body,
             Err(Some((code, reason))) => {
-                self.reject(code.http_status(), code, &reason).await;
+                self.reject(&head.method, code.http_status(), code, &reason).await;
                 return false;
             }
             Err(None) => return false,
@@ -129,7 +131,8 @@
                 let id = request
                     .id(&gateway.header_names)
                     .map(|id| (gateway.header_names.request_id.as_str(), id));
-                let bytes = error_response(code, retry_after, &reason, id, closes);
+                let method = &request.head.method;
+                let bytes = error_response(method, code, retry_after, &reason, id, closes);
                 self.write_bytes(&bytes).await && !closes
             }
         }
@@ -141,13 +144,13 @@
     }
 
     /// Writes an error response to a request that was not read completely, and closes the connection.
-    async fn reject(&mut self, status: u16, code: ResultCode, reason: &str) {
+    async fn reject(&mut self, method: &str, status: u16, code: ResultCode, reason: &str) {
         warn!(self.gateway.log, "request rejected before it was read completely"; "status" => status,
             "code" => code.number(), "reason" => reason);
-        let mut bytes = error_response(code, None, reason, None, true);
+        let mut bytes = error_response(method, code, None, reason, None, true);
         if status == 431 {
-            bytes = b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-                .to_vec();
+            let response = CompleteResponse::new(431, "Request Header Fields Too Large", &[], &[]);
+            bytes = response.with_closes(true).serialize(method);
         }
         // Errors are ignored because the connection closes in any case.
         let _ = self.write_bytes(&bytes).await;
--- a/crates/agatecourse-gateway/src/connection/head.rs
+++ b/crates/agatecourse-gateway/src/connection/head.rs
@@ -1,4 +1,4 @@
-use super::BodyFraming;
+use super::{BodyFraming, has_no_body};
 use snafu::Snafu;
 
 /// Largest incomplete response head in bytes that is buffered.
@@ -83,7 +83,7 @@
     }
 
     /// Returns the value of `Content-Length`; `None` when absent, an error when it is invalid or values conflict.
-    fn content_length(&self) -> Result<Option<u64>, HeadError> {
+    pub(crate) fn content_length(&self) -> Result<Option<u64>, HeadError> {
         let mut length = None;
         for (name, value) in &self.lines {
             if !name.eq_ignore_ascii_case("content-length") {
@@ -206,10 +206,8 @@
     if is_chunked && content_length.is_some() {
         return Err(HeadError::AmbiguousLength);
     }
-    let has_no_body =
-        method == "HEAD" || status == 204 || status == 304 || (100..200).contains(&status);
     let framing = match content_length {
-        _ if has_no_body => BodyFraming::Length(0),
+        _ if has_no_body(method, status) => BodyFraming::Length(0),
         _ if is_chunked => BodyFraming::Chunked,
         Some(length) => BodyFraming::Length(length),
         None => BodyFraming::UntilClose,
--- a/crates/agatecourse-gateway/src/connection/mod.rs
+++ b/crates/agatecourse-gateway/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod caller;
+mod complete_response;
 mod head;
 mod header_names;
 mod simple_client;
@@ -10,15 +11,14 @@
 
 pub(crate) use body::{BodyFraming, BodyReader, read_some};
 pub(crate) use caller::serve_caller;
+pub(crate) use complete_response::{CompleteResponse, has_no_body, unparsed_method};
 pub(crate) use head::MAX_RESPONSE_HEAD_BYTES;
 pub use head::{
     HeadError, Headers, RequestHead, ResponseHead, parse_request_head, parse_response_head,
 };
 pub use header_names::HeaderNames;
 pub use simple_client::{CallError, SimpleClient};
-pub(crate) use target_connection::{
-    ConnectError, ResponseError, TargetConnection, set_socket_options,
-};
+pub(crate) use target_connection::{ResponseError, TargetConnection, set_socket_options};
 pub(crate) use target_pool::TargetPool;
 
 // Public because fuzzing and property tests decode bodies without a socket.
--- a/crates/agatecourse-gateway/src/process/run.rs
+++ b/crates/agatecourse-gateway/src/process/run.rs
@@ -1,5 +1,7 @@
 use super::{Gateway, GatewayError, peers};
-use crate::connection::{RequestHead, parse_request_head, read_some, serve_caller};
+use crate::connection::{
+    CompleteResponse, RequestHead, parse_request_head, read_some, serve_caller,
+};
 use bytes::BytesMut;
 use slog::{info, warn};
 use std::net::SocketAddr;
@@ -221,19 +223,13 @@
         };
         let _head_bytes = buffer.split_to(length);
         let reply = respond(gateway, &head);
-        let mut bytes = format!(
-            "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n",
-            reply.status,
-            if reply.status == 200 { "OK" } else { "Unavailable" },
-            reply.content_type,
-            reply.body.len()
-        );
-        bytes.push_str(
-            &reply.version.map_or(String::new(), |version| format!("ETag: \"{version}\"\r\n")),
-        );
-        bytes.push_str("\r\n");
-        let mut bytes = bytes.into_bytes();
-        bytes.extend_from_slice(&reply.body);
+        let mut lines = format!("Content-Type: {}\r\n", reply.content_type);
+        if let Some(version) = reply.version {
+            lines.push_str(&format!("ETag: \"{version}\"\r\n"));
+        }
+        let reason = if reply.status == 200 { "OK" } else { "Unavailable" };
+        let bytes = CompleteResponse::new(reply.status, reason, lines.as_bytes(), &reply.body)
+            .serialize(&head.method);
         let written = tokio::time::timeout(INTERNAL_TIMEOUT, stream.write_all(&bytes)).await;
         if head.closes || !matches!(written, Ok(Ok(()))) {
             return;
--- a/crates/agatecourse-gateway/src/request/answer.rs
+++ b/crates/agatecourse-gateway/src/request/answer.rs
@@ -1,4 +1,4 @@
-use crate::connection::ResponseHead;
+use crate::connection::{CompleteResponse, ResponseHead, has_no_body};
 use agatecourse_types::{Problem, RequestId, ResultCode};
 use std::time::Duration;
 
@@ -31,8 +31,9 @@
     }
 }
 
-/// Serializes an error response that the node generates.
+/// Serializes an error response that the node generates to a request with this method.
 pub(crate) fn error_response(
+    method: &str,
     code: ResultCode,
     retry_after: Option<Duration>,
     detail: &str,
@@ -46,20 +47,16 @@
     let mut problem = Problem::new(code, numeric_id, detail);
     problem.status = status;
     let body = serde_json::to_vec(&problem).unwrap_or_default();
-    let mut out = format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status)).into_bytes();
-    out.extend_from_slice(b"Content-Type: application/problem+json\r\n");
+    let mut lines = String::from("Content-Type: application/problem+json\r\n");
     if let Some((name, value)) = id {
-        out.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+        lines.push_str(&format!("{name}: {value}\r\n"));
     }
     if let Some(wait) = retry_after {
-        out.extend_from_slice(format!("Retry-After: {:.3}\r\n", wait.as_secs_f64()).as_bytes());
+        lines.push_str(&format!("Retry-After: {:.3}\r\n", wait.as_secs_f64()));
     }
-    if closes {
-        out.extend_from_slice(b"Connection: close\r\n");
-    }
-    out.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-    out.extend_from_slice(&body);
-    out
+    CompleteResponse::new(status, reason_phrase(status), lines.as_bytes(), &body)
+        .with_closes(closes)
+        .serialize(method)
 }
 
 /// Returns the HTTP status of a result code; a request that expired in the queue gets 503, because it did not run and may be
@@ -89,14 +86,19 @@
     }
 }
 
-/// Serializes a target's complete response for the caller.
-pub(crate) fn serialize_response(head: &ResponseHead, body: &[u8], closes: bool) -> Vec<u8> {
-    let mut out = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
-    head.headers.write_end_to_end(&mut out, |_| false);
-    if closes {
-        out.extend_from_slice(b"Connection: close\r\n");
+/// Serializes a target's complete response to a request with this method for the caller.
+pub(crate) fn serialize_response(
+    method: &str,
+    head: &ResponseHead,
+    body: &[u8],
+    closes: bool,
+) -> Vec<u8> {
+    let mut lines = Vec::new();
+    head.headers.write_end_to_end(&mut lines, |_| false);
+    let mut response = CompleteResponse::new(head.status, &head.reason, &lines, body);
+    if has_no_body(method, head.status) {
+        // The target states the length of the body that it would send in response to GET, or none.
+        response = response.with_body_length(head.headers.content_length().unwrap_or_default());
     }
-    out.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-    out.extend_from_slice(body);
-    out
+    response.with_closes(closes).serialize(method)
 }
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -2,6 +2,7 @@
 use super::crash_check::still_runs;
 use crate::connection::{
     BodyFraming, BodyReader, HeaderNames, ResponseError, ResponseHead, TargetConnection,
+    has_no_body,
 };
 use crate::process::Gateway;
 use crate::version::Target;
@@ -100,7 +101,8 @@
             reason: "answer has a content encoding that nobody asked for".to_string(),
         };
     }
-    if is_success && wants_stream {
+    // A response that has no body is no stream, also on the route of one.
+    if is_success && wants_stream && !has_no_body(&request.head.method, head.status) {
         return AttemptEnd::Stream { head, connection };
     }
     match read_complete_body(gateway, target, connection, &head).await {
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -401,7 +401,8 @@
         let kind = self.admitted.route.kind;
         match end {
             AttemptEnd::Complete { head, body } => {
-                let is_failure = head.status >= 500;
+                // A response that is no stream does not resume one.
+                let is_failure = head.status >= 500 || self.relay.has_started();
                 let (now, keys) = (Instant::now(), &self.admitted.suspect_keys);
                 if is_failure {
                     // The target may have failed the request before it ran the part that crashes targets.
@@ -419,7 +420,8 @@
                         reason: format!("resumed stream got status {}", head.status),
                     });
                 }
-                let bytes = serialize_response(&head, &body, self.closes);
+                let bytes =
+                    serialize_response(&self.request.head.method, &head, &body, self.closes);
                 let reply = Reply::Complete { status: head.status, bytes };
                 if may_retry {
                     self.failed_response = Some(reply);
