--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -3,7 +3,7 @@
 use super::admission::{AdmissionError, AdmittedRequest, admit, quarantine_reason};
 use super::attempt::{AttemptEnd, attempt, return_to_pool};
 use super::attempt_guard::AttemptGuard;
-use super::crash_check::{check_for_crash, has_ended};
+use super::crash_check::{check_for_crash, still_runs};
 use super::outbound::outbound_request;
 use super::relay::{Relay, RelayEnd, RelayOptions};
 use super::{CallerRequest, Reply, serialize_response};
@@ -401,7 +401,8 @@
         let kind = self.admitted.route.kind;
         match end {
             AttemptEnd::Complete { head, body } => {
-                let is_failure = head.status >= 500;
+                // A response that is no stream does not resume one.
+                let is_failure = head.status >= 500 || self.relay.has_started();
                 let (now, keys) = (Instant::now(), &self.admitted.suspect_keys);
                 if is_failure {
                     // The target may have failed the request before it ran the part that crashes targets.
@@ -419,7 +420,8 @@
                         reason: format!("resumed stream got status {}", head.status),
                     });
                 }
-                let bytes = serialize_response(&head, &body, self.closes);
+                let bytes =
+                    serialize_response(&self.request.head.method, &head, &body, self.closes);
                 let reply = Reply::Complete { status: head.status, bytes };
                 if may_retry {
                     self.failed_response = Some(reply);
@@ -510,7 +512,7 @@
         let is_stalled = matches!(end, RelayEnd::Stalled { .. });
 
         if matches!(end, RelayEnd::Complete) {
-            end = if head.framing == BodyFraming::UntilClose && has_ended(gateway, target).await {
+            end = if head.framing == BodyFraming::UntilClose && !still_runs(gateway, target).await {
                 RelayEnd::TargetFailed { reason: "target ended with the connection".to_string() }
             } else if self.relay.finish(caller).await.is_err() {
                 RelayEnd::CallerDisconnected
