fix(quota): nodes give only their part before they have heard of each other

Cause: three rules let many nodes give the same rest of a quota. A request that exceeds the share of its node passed as the first of a period at all nodes at once while 2% of the limit was unused: 87 requests of 4,500 tokens are 390,000. A node that had heard no peer since a restart took a new share of the same rest every half second. The total of an older peer, up to a second old, capped what a young node counted, also what it had given itself since.

Change: a request larger than its node's share passes by a draw of each node and period, with odds by which the nodes that are expected to ask take what is unused with the slack; how often a node is asked says how many these are, so a small organisation is served as before. A node that was not heard since the start counts as having used as much as this one. Totals of older peers grow by what this node knows since. Absent nodes (silent, or expected and never heard) keep an equal share for as long as they are expected, and the live ones divide the rest among themselves. The share period follows the period of heartbeats. Parts of lists of organisations can be recorded (`record_unlisted`, `adopt_part`), and at most eight bounds are lowered at a time.

--- a/crates/agatecourse-core/src/request/quota_bounds.rs
+++ b/crates/agatecourse-core/src/request/quota_bounds.rs
@@ -13,6 +13,9 @@
 /// Time for which all nodes enforce a lower bound before it is stored; several heartbeat periods.
 const LOWER_DELAY: Duration = Duration::from_secs(2);
 
+/// Maximum number of bounds that are lowered at a time, so that each heartbeat has room for all of them.
+const MAX_LOWERED: usize = 8;
+
 /// Upper bounds of the quota use of organisations, stored durably before the use may reach them.
 ///
 /// All nodes together keep the use of an organisation in a window below its stored bound. Processes that replace all others at
@@ -31,6 +34,8 @@
     stored: BTreeMap<OrganisationId, u64>,
     /// Lower bounds that are enforced but not stored yet, with the time since when.
     lowering: BTreeMap<OrganisationId, (u64, Instant)>,
+    /// Versions of the bounds that were taken over without all others.
+    part_versions: BTreeMap<OrganisationId, u64>,
     /// Last time at which the stored bound was needed.
     needed_at: BTreeMap<OrganisationId, Instant>,
 }
@@ -113,6 +118,7 @@
             self.stored = bounds.iter().map(|(name, entry)| (name.clone(), entry.stored)).collect();
             self.stored.retain(|_, stored| *stored > 0);
             self.lowering.clear();
+            self.part_versions.retain(|_, part_version| *part_version > version);
         }
         for (organisation, entry) in bounds {
             if entry.enforced < self.entry(organisation).enforced {
@@ -122,10 +128,41 @@
         true
     }
 
+    /// Takes over some of the bounds that another node knows; returns true if one of them is higher.
+    ///
+    /// The version stays, because this node does not know all bounds of the other one: a write of this node then fails and makes it read all of
+    /// them. A higher bound of a newer version is stored, so it may be enforced.
+    pub fn adopt_part(
+        &mut self,
+        now: Instant,
+        version: u64,
+        bounds: &BTreeMap<OrganisationId, BoundEntry>,
+    ) -> bool {
+        let mut is_raised = false;
+        for (organisation, entry) in bounds {
+            let known_version = self.part_versions.get(organisation).copied().unwrap_or_default();
+            if version < self.version.max(known_version) {
+                continue;
+            }
+            let known = self.entry(organisation);
+            if version > self.version.max(known_version) {
+                self.part_versions.insert(organisation.clone(), version);
+                self.stored.insert(organisation.clone(), entry.stored);
+                self.lowering.remove(organisation);
+                is_raised |= entry.enforced > known.enforced;
+            }
+            if entry.enforced < self.entry(organisation).enforced {
+                self.lowering.insert(organisation.clone(), (entry.enforced, now));
+            }
+        }
+        is_raised
+    }
+
     /// Takes over bounds that this node has stored.
     pub fn record_stored(&mut self, version: u64, bounds: BTreeMap<OrganisationId, u64>) {
         self.version = version;
         self.stored = bounds;
+        self.part_versions.clear();
     }
 
     /// Returns the bounds to store: raised ones at once and, if the node records the use regularly (`is_recorder`), lower ones
@@ -168,6 +205,9 @@
         if now.saturating_duration_since(*needed_at) < LOWER_AFTER {
             return stored;
         }
+        if self.lowering.len() >= MAX_LOWERED && !self.lowering.contains_key(&demand.organisation) {
+            return stored;
+        }
         let (bound, since) =
             *self.lowering.entry(demand.organisation.clone()).or_insert((target, now));
         if now.saturating_duration_since(since) < LOWER_DELAY {
--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -1,24 +1,29 @@
 use super::UseHistory;
 use super::quota_bounds::effective_bound;
-use agatecourse_types::NodeId;
+use agatecourse_types::{NodeId, stable_hash};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Time resolution of the sliding window.
 const BUCKET: Duration = Duration::from_millis(250);
-/// Age from which a peer's count is stale; the peer is then assumed to use at least an equal share of the quota.
-const STALE_AFTER: Duration = Duration::from_secs(1);
-
-/// Time within which a node receives the counts of all peers; one heartbeat period plus a margin.
-const PEER_UPDATE_PERIOD: Duration = Duration::from_millis(500);
+/// Shortest age from which a peer's count is stale; the peer is then assumed to use at least an equal share of the quota. With many nodes it is
+/// longer, so that one lost report does not make a count stale.
+const MIN_STALE_AFTER: Duration = Duration::from_secs(1);
+/// Shortest time within which a node receives the counts of all peers. With many nodes it is longer, as a node that took a second share before
+/// its peers know of the first would take what they take as well.
+const MIN_SHARE_PERIOD: Duration = Duration::from_millis(500);
+/// Age from which a count is not confirmed by reports that do not list the organisation.
+const STALE_AFTER_UNLISTED: Duration = Duration::from_secs(4);
+/// Addition to the period of peers' reports for their delay.
+const REPORT_MARGIN: Duration = Duration::from_millis(50);
 /// Largest part of the unused quota that is shared in proportion to the nodes' use; the rest is shared equally.
 const MAX_PROPORTIONAL_WEIGHT: f64 = 0.5;
-/// A request larger than the node's share needs more than `limit / MIN_REMAINDER_DIVISOR` of unused quota.
-const MIN_REMAINDER_DIVISOR: u64 = 50;
+/// Weight of the newest period in the share of periods in which a node is asked for a quota; a burst shows after two or three periods.
+const ASK_RATIO_WEIGHT: f64 = 0.25;
 
 /// Tracks the quota use of one organisation over all nodes in a sliding window.
 ///
-/// Each node counts its own use and publishes it. A peer with a stale count is assumed to use an equal share, so that
+/// Each node counts its own use and publishes it. A peer that is expected and not heard is assumed to use an equal share, so that
 /// partitioned nodes stay within the quota together. A queued amount stays reserved until it is sent and then counts for
 /// a whole window, because a target's work counts from its start.
 ///
@@ -36,7 +41,7 @@
     ended: VecDeque<EndedUse>,
     period: Option<SharePeriod>,
     /// Use of all nodes as reported by peers that started earlier than this node, with the time of the report.
-    older_peer_totals: BTreeMap<NodeId, (Instant, u64)>,
+    older_peer_totals: BTreeMap<NodeId, OlderPeerTotal>,
     /// Start of this process if it replaces others, whose use it does not know.
     replaced_others_at: Option<Instant>,
     /// Stored bound of the use of ended processes; `None` before it was read, 0 for the default.
@@ -55,6 +60,16 @@
     sent_total: u64,
     /// Amounts that all nodes have sent, as far as this node knows.
     history: UseHistory,
+    /// Share of the periods in which this node was asked for the quota; 1 until this is known.
+    ask_ratio: f64,
+    /// Time of the first report of a peer.
+    first_report: Option<Instant>,
+    /// Number of share periods that were started.
+    period_number: u64,
+    /// Distinguishes the draws of nodes.
+    draw_seed: u64,
+    /// Period in which peers report their use.
+    report_period: Duration,
 }
 
 /// Use of a process that has ended.
@@ -74,6 +89,15 @@
     }
 }
 
+/// Use of all nodes as reported by a peer that started earlier than this node.
+#[derive(Debug, Clone, Copy)]
+struct OlderPeerTotal {
+    reported_at: Instant,
+    total: u64,
+    /// Use since this process started that this node knew at that time; what it knows beyond it is not in the total.
+    since: u64,
+}
+
 /// Last reported use of a peer and its growth, to extrapolate until the next report.
 #[derive(Debug, Clone, Copy)]
 struct PeerUse {
@@ -82,6 +106,8 @@
     /// Use in the peer's first report that the use before this process started includes already.
     used_at_first: u64,
     growth_per_s: f64,
+    /// Largest growth since a report that listed this organisation.
+    unlisted_growth: u64,
     /// Amount that the peer's process has sent since its start; `None` before the first report that contains it.
     sent_total: Option<u64>,
 }
@@ -89,7 +115,26 @@
 impl PeerUse {
     fn expected_use(&self, now: Instant) -> u64 {
         let age = now.saturating_duration_since(self.reported_at);
-        self.used + (self.growth_per_s * age.as_secs_f64()) as u64
+        self.used + self.unlisted_growth + (self.growth_per_s * age.as_secs_f64()) as u64
+    }
+}
+
+/// Estimate of the use of all nodes in the window.
+#[derive(Debug, Clone, Copy)]
+struct UseEstimate {
+    /// Use that nodes have reported, or may have had before this process started.
+    known: u64,
+    /// Use of live and ended nodes, and the largest use that absent nodes may have; 0 without absent nodes.
+    with_absent: u64,
+    /// Use of this node and of the live peers.
+    live: u64,
+    /// Number of nodes that are expected and not heard.
+    absent: usize,
+}
+
+impl UseEstimate {
+    fn total(&self) -> u64 {
+        self.known.max(self.with_absent)
     }
 }
 
@@ -147,9 +192,21 @@
             expected_nodes: 1,
             sent_total: 0,
             history: UseHistory::new(width),
+            ask_ratio: 1.0,
+            first_report: None,
+            period_number: 0,
+            draw_seed: 0,
+            report_period: Duration::ZERO,
         }
     }
 
+    /// Sets the number that distinguishes the draws of this node, which decide which nodes take a request that is larger than their shares.
+    #[must_use]
+    pub fn with_draw_seed(mut self, draw_seed: u64) -> Self {
+        self.draw_seed = draw_seed;
+        self
+    }
+
     /// Sets that this process started at `started` in place of others, whose use in the window before is unknown.
     #[must_use]
     pub fn with_unknown_use_before(mut self, started: Instant) -> Self {
@@ -173,6 +230,7 @@
 
     /// Records the use that a peer reports for its window.
     pub fn record_peer(&mut self, now: Instant, node: NodeId, used: u64) {
+        self.first_report.get_or_insert(now);
         let before = self.peers.get(&node);
         let (growth_per_s, used_at_first) = before.map_or((0.0, used), |before| {
             let elapsed_s = now.saturating_duration_since(before.reported_at).as_secs_f64();
@@ -182,10 +240,46 @@
         let sent_total = before.and_then(|before| before.sent_total);
         self.peers.insert(
             node,
-            PeerUse { reported_at: now, used, used_at_first, growth_per_s, sent_total },
+            PeerUse {
+                reported_at: now,
+                used,
+                used_at_first,
+                growth_per_s,
+                unlisted_growth: 0,
+                sent_total,
+            },
         );
     }
 
+    /// Records that a peer's report does not list this organisation: the peer's use has grown by `growth` at most since it listed it.
+    ///
+    /// A count that is older than `STALE_AFTER_UNLISTED` is not taken for confirmed, because the peer may have listed the organisation while this node did not
+    /// hear it. `is_listed_by_now` says that the peer has listed all organisations with any use since this node hears it.
+    pub fn record_unlisted(
+        &mut self,
+        now: Instant,
+        node: &NodeId,
+        growth: u64,
+        is_listed_by_now: bool,
+    ) {
+        match self.peers.get_mut(node) {
+            Some(peer)
+                if now.saturating_duration_since(peer.reported_at) < STALE_AFTER_UNLISTED =>
+            {
+                peer.reported_at = now;
+                peer.growth_per_s = 0.0;
+                peer.unlisted_growth = growth;
+            }
+            _ if is_listed_by_now => {
+                self.record_peer(now, node.clone(), 0);
+                if let Some(peer) = self.peers.get_mut(node) {
+                    peer.unlisted_growth = growth;
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Counts all use that a peer has reported as use since this process started, because the peer's process started later.
     pub fn record_younger_peer(&mut self, node: &NodeId) {
         if let Some(peer) = self.peers.get_mut(node) {
@@ -225,6 +319,7 @@
                 used: 0,
                 used_at_first: 0,
                 growth_per_s: 0.0,
+                unlisted_growth: 0,
                 sent_total: Some(0),
             };
         }
@@ -232,7 +327,7 @@
 
     /// Returns the estimated use of all nodes in the window.
     pub fn known_use(&mut self, now: Instant, limit: u64) -> u64 {
-        self.total_use(now, limit)
+        self.estimate_use(now, limit).total()
     }
 
     /// Records the use of all nodes as reported by a peer that started earlier than this node; it includes the use of
@@ -243,7 +338,9 @@
         let at_most = total + self.recorded_expired;
         self.previous_use_at_most =
             Some(self.previous_use_at_most.map_or(at_most, |earlier| earlier.min(at_most)));
-        self.older_peer_totals.insert(node, (now, total));
+        let own = self.own_use(now);
+        let since = self.use_since_first_reports(now, own);
+        self.older_peer_totals.insert(node, OlderPeerTotal { reported_at: now, total, since });
     }
 
     /// Sets the use of `nodes` nodes before this process started, as amounts with the times at which they leave the window.
@@ -270,6 +367,11 @@
         self.expected_nodes = nodes;
     }
 
+    /// Sets the period in which peers report their use, which grows with their number.
+    pub fn set_report_period(&mut self, period: Duration) {
+        self.report_period = period;
+    }
+
     /// Sets the bound of the use of all nodes; it applies if it is less than the limit.
     pub fn set_bound(&mut self, bound: u64) {
         self.bound = Some(bound);
@@ -287,7 +389,8 @@
     ///
     /// Peers' counts are up to one period old, so within a period a node reserves only its share of the quota that was
     /// unused at the period's start. Up to half of it is shared in proportion to the nodes' use so far, the rest equally. All
-    /// shares together may exceed the unused quota by half of `slack`, the excess that the deployment allows.
+    /// shares together may exceed the unused quota by half of `slack`, the excess that the deployment allows. A request that is larger than the
+    /// share may be the first of a period, as long as the nodes that are expected to ask then take no more than that together.
     ///
     /// # Errors
     ///
@@ -299,14 +402,15 @@
         limit: u64,
         slack: u64,
     ) -> Result<(), QuotaRefusal> {
-        let used = self.total_use(now, limit);
+        let use_of_all = self.estimate_use(now, limit);
+        let used = use_of_all.total();
         let is_bounded = self.bound.is_some_and(|bound| bound < limit);
         let limit = self.bound.map_or(limit, |bound| bound.min(limit));
         let mut period = match self.period {
-            Some(period) if now.saturating_duration_since(period.started) < PEER_UPDATE_PERIOD => {
+            Some(period) if now.saturating_duration_since(period.started) < self.share_period() => {
                 period
             }
-            _ => self.start_period(now, used, limit, slack),
+            _ => self.start_period(now, &use_of_all, limit, slack),
         };
         if limit > period.limit {
             let raised = limit - period.limit;
@@ -317,9 +421,8 @@
             period.share += (raised as f64 * period.fraction) as u64;
         }
         let fits_share = period.taken + amount <= period.share;
-        // The first request of a period may exceed the share while enough quota is left for one request of each node.
-        let is_first = period.taken == 0 && period.unused > limit / MIN_REMAINDER_DIVISOR;
-        let fits = used + amount <= limit && (fits_share || is_first);
+        let fits_first = period.taken == 0 && amount <= self.first_amount_limit(&period, slack);
+        let fits = used + amount <= limit && (fits_share || fits_first);
         if fits {
             period.taken += amount;
             self.reserved += amount;
@@ -336,51 +439,133 @@
         Err(QuotaRefusal { used, own, limit, share, taken, is_bounded, needed_bound })
     }
 
-    fn start_period(&mut self, now: Instant, used: u64, limit: u64, slack: u64) -> SharePeriod {
-        let nodes = (self.peers.len() + 1).max(self.expected_nodes) as f64;
+    fn start_period(
+        &mut self,
+        now: Instant,
+        use_of_all: &UseEstimate,
+        limit: u64,
+        slack: u64,
+    ) -> SharePeriod {
+        self.update_ask_ratio(now);
         let own = self.own_use(now);
-        let live_use = own + self.peers.values().map(|peer| peer.expected_use(now)).sum::<u64>();
-        // The more is used, the more the nodes' use tells about their traffic. The fractions of all nodes add up to one.
-        let weight = (live_use as f64 / limit.max(1) as f64).min(MAX_PROPORTIONAL_WEIGHT);
-        let own_fraction = own as f64 / live_use.max(1) as f64;
-        let fraction = weight * own_fraction + (1.0 - weight) / nodes;
-        let unused = limit.saturating_sub(used);
-        let share = (unused as f64 * fraction + slack as f64 / nodes / 2.0) as u64;
+        // The more is used, the more the nodes' use tells about their traffic. The fractions of the nodes add up to one.
+        let fraction = |nodes: f64| {
+            let weight =
+                (use_of_all.live as f64 / limit.max(1) as f64).min(MAX_PROPORTIONAL_WEIGHT);
+            let own_fraction = own as f64 / use_of_all.live.max(1) as f64;
+            weight * own_fraction + (1.0 - weight) / nodes
+        };
+        let nodes = self.node_count() as f64;
+        let live_nodes = nodes - use_of_all.absent as f64;
+        // What absent nodes may use is not shared; what is unused by all is shared with them too.
+        let of_all = limit.saturating_sub(use_of_all.known) as f64 * fraction(nodes);
+        let of_live = limit.saturating_sub(use_of_all.with_absent) as f64 * fraction(live_nodes);
+        let fraction = if of_live < of_all {
+            fraction(live_nodes) * live_nodes / nodes
+        } else {
+            fraction(nodes)
+        };
+        let slack_share = slack as f64 / nodes / 2.0;
+        let share = (of_all.min(of_live) + slack_share) as u64;
+        let unused = limit.saturating_sub(use_of_all.total());
         SharePeriod { started: now, limit, unused, fraction, share, taken: 0 }
     }
 
-    /// Returns the largest of the estimates that can miss use: the reports of live and ended processes; and the use before this
-    /// process started, as recorded or at most possible, plus the use since then. The totals of peers that started earlier
-    /// limit what is only possible.
-    fn total_use(&mut self, now: Instant, limit: u64) -> u64 {
+    /// Returns the largest amount that this node may send as the first of a period although it exceeds the node's share.
+    ///
+    /// Requests are larger than the shares of many nodes, and all nodes may send one before they hear of each other. So the nodes that are
+    /// expected to ask may take, on average, what is unused with the slack: a node may take an amount that is larger by a factor with the inverse
+    /// probability. The draw is made once a period, so that repeats of a request do not change it.
+    fn first_amount_limit(&self, period: &SharePeriod, slack: u64) -> u64 {
+        let asking_nodes = (self.node_count() as f64 * self.ask_ratio).max(1.0);
+        ((period.unused + slack / 2) as f64 / asking_nodes / self.draw()) as u64
+    }
+
+    /// Returns a number between 0 and 1 that differs between nodes and periods.
+    fn draw(&self) -> f64 {
+        let hash = stable_hash(&[&self.draw_seed.to_le_bytes(), &self.period_number.to_le_bytes()]);
+        // The upper bits of the hash of few bytes are not evenly spread; the finalizer of SplitMix64 spreads them.
+        let mixed = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (((mixed ^ (mixed >> 31)) >> 11) + 1) as f64 / (1_u64 << 53) as f64
+    }
+
+    /// Updates the share of periods in which this node is asked for the quota, at the start of a period in which it is.
+    fn update_ask_ratio(&mut self, now: Instant) {
+        self.period_number += 1;
+        let Some(since) = self.period.map(|period| period.started).or(self.first_report) else {
+            return;
+        };
+        let elapsed = now.saturating_duration_since(since).as_secs_f64();
+        let mut unasked = (elapsed / self.share_period().as_secs_f64()).floor();
+        if self.period.is_some() {
+            self.ask_ratio += (1.0 - self.ask_ratio) * ASK_RATIO_WEIGHT;
+            unasked = (unasked - 1.0).max(0.0);
+        }
+        self.ask_ratio *= (1.0 - ASK_RATIO_WEIGHT).powf(unasked);
+    }
+
+    /// Returns the time within which a node receives the counts of all peers.
+    fn share_period(&self) -> Duration {
+        MIN_SHARE_PERIOD.max(self.report_period + REPORT_MARGIN)
+    }
+
+    fn stale_after(&self) -> Duration {
+        MIN_STALE_AFTER.max(self.report_period * 2 + REPORT_MARGIN)
+    }
+
+    fn node_count(&self) -> usize {
+        (self.peers.len() + 1).max(self.expected_nodes)
+    }
+
+    /// Estimates the use of all nodes in the window; `limit` is the quota, of which a stored bound may leave a part.
+    ///
+    /// The known use is the largest of the estimates that can miss use: the reports of live and ended processes; and the use before this
+    /// process started, as recorded or at most possible, plus the use since then. The totals of peers that started earlier limit what is only
+    /// possible. Nodes that are expected and not heard may each use an equal share, also behind a partition and for as long as it lasts.
+    fn estimate_use(&mut self, now: Instant, limit: u64) -> UseEstimate {
         let own = self.own_use(now);
-        let equal_share = limit / (self.peers.len() as u64 + 1);
-        let peers: u64 = self
-            .peers
-            .values()
-            .map(|peer| {
-                if now.saturating_duration_since(peer.reported_at) >= STALE_AFTER {
-                    return equal_share.max(peer.used);
-                }
-                peer.expected_use(now)
-            })
-            .sum();
+        let stale_after = self.stale_after();
+        let enforced = self.bound.map_or(limit, |bound| bound.min(limit));
+        let nodes = self.node_count();
+        let equal_share = enforced / nodes as u64;
+        let unheard = nodes - 1 - self.peers.len();
+        let (mut live, mut stale, mut absent_use) = (own, 0, unheard as u64 * equal_share);
+        let mut absent = unheard;
+        for peer in self.peers.values() {
+            let age = now.saturating_duration_since(peer.reported_at);
+            if age < stale_after {
+                live += peer.expected_use(now);
+                continue;
+            }
+            let reported = if age < self.width { peer.used } else { 0 };
+            absent += 1;
+            stale += reported;
+            absent_use += equal_share.max(reported);
+        }
         self.ended.retain(|ended| ended.until > now);
         let ended: u64 = self.ended.iter().map(|ended| ended.used).sum();
-        self.older_peer_totals.retain(|_, (reported_at, _)| {
-            now.saturating_duration_since(*reported_at) < STALE_AFTER
-        });
-        let older_peer_total = self.older_peer_totals.values().map(|(_, total)| *total).max();
-        let since = self.use_since_first_reports(now, own);
+        self.older_peer_totals
+            .retain(|_, report| now.saturating_duration_since(report.reported_at) < stale_after);
+        let older_peer_total = self.older_peer_totals.values().map(|report| report.total).max();
+        // A node that has not been heard since this process started may have used as much as this one since.
+        let since = self.use_since_first_reports(now, own) + unheard as u64 * own;
+        let since_older_totals = self
+            .older_peer_totals
+            .values()
+            .map(|report| report.total + since.saturating_sub(report.since))
+            .max();
         self.expire_recorded(now);
         let recorded: u64 = self.recorded.iter().map(|(_, amount)| *amount).sum();
         let with_recorded = if recorded == 0 { 0 } else { recorded + since };
-        let known = (own + peers + ended).max(with_recorded);
-        match (self.assumed_previous_use(now, limit), older_peer_total) {
-            (Some(assumed), Some(older)) => known.max((assumed + since).min(older)),
-            (Some(assumed), None) => known.max(assumed + since),
-            (None, older) => known.max(older.unwrap_or_default()),
-        }
+        let reported = (live + stale + ended).max(with_recorded);
+        let known = match (self.assumed_previous_use(now, limit), since_older_totals) {
+            (Some(assumed), Some(older)) => reported.max((assumed + since).min(older)),
+            (Some(assumed), None) => reported.max(assumed + since),
+            (None, _) => reported.max(older_peer_total.unwrap_or_default()),
+        };
+        let with_absent = if absent == 0 { 0 } else { live + ended + absent_use };
+        UseEstimate { known, with_absent, live, absent }
     }
 
     /// Returns the largest possible use before this process started that is still in the window; `None` if all use is known,
