--- a/crates/agatecourse-core/src/request/dispatch/mod.rs
+++ b/crates/agatecourse-core/src/request/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! runs, and decides which request goes to which target, which waits, and which is refused with a retry delay. It performs
 //! no I/O and reads no clock.
 
+mod cold_start;
 mod dispatch_queue;
 mod dispatcher;
 mod job;
@@ -16,6 +17,7 @@
 mod target_view;
 mod zone_spill;
 
+pub use cold_start::{ColdRules, ColdStarts};
 pub use dispatcher::{Dispatcher, DispatcherSnapshot};
 pub use job::{Decision, Job, JobKey, JobNumber};
 pub use prefix_index::{PromptPart, PromptParts};
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -187,6 +187,8 @@
     pub suspects: SmallVec<[SuspectKey; 2]>,
     /// Parts of the prompt.
     pub prompt_parts: PromptParts,
+    /// Zones of which the target must be in one; empty for any.
+    pub home_zones: SmallVec<[ZoneId; 2]>,
 }
 
 /// A message between nodes.
@@ -275,6 +277,7 @@
             Self::Status { .. } => "status",
             Self::Crash(_) => "crash",
             Self::Cleared { .. } => "cleared",
+            Self::Progressed { .. } => "progressed",
         }
     }
 }
