feat(agatecoursectl): check a platform configuration before it is sent

Cause: operators send a configuration and learn of a mistake when nodes have put it in force, or never, as for a route behind an equal prefix.

Exit status 3 for errors, as for other invalid configurations. Limits that stand in the settings, such as the retry budget, are not compared.

--- a/crates/agatecoursectl/src/command_error.rs
+++ b/crates/agatecoursectl/src/command_error.rs
@@ -1,3 +1,4 @@
+use crate::output::Output;
 use agatecourse_config::ConfigFaults;
 use agatecourse_peer::KeyError;
 use serde_json::json;
@@ -28,6 +29,12 @@
         /// All faults of the file.
         source: ConfigFaults,
     },
+    /// The configuration for the hosting platform has errors.
+    #[snafu(display("{}", output.render(false)))]
+    Unsound {
+        /// All findings, and the changes to the version in force.
+        output: Output,
+    },
     /// Another configuration was activated in the meantime; nothing was changed.
     #[snafu(display(
         "conflict: version {found} is in force, but this change is based on version {base}; nothing was \
@@ -74,7 +81,7 @@
     pub fn exit_status(&self) -> u8 {
         match self {
             Self::File { .. } | Self::Key { .. } => 1,
-            Self::Invalid { .. } => 3,
+            Self::Invalid { .. } | Self::Unsound { .. } => 3,
             Self::Conflict { .. } => 4,
             Self::Unavailable { .. } => 5,
             Self::OutcomeUnknown { .. } => 6,
@@ -85,6 +92,9 @@
 
     /// Returns the message, or a JSON object with it and the exit status.
     pub fn render(&self, json: bool) -> String {
+        if let (true, Self::Unsound { output }) = (json, self) {
+            return output.render(true);
+        }
         if json {
             let status = self.exit_status();
             return json!({ "error": self.to_string(), "exit_status": status }).to_string();
--- a/crates/agatecoursectl/src/config_table.rs
+++ b/crates/agatecoursectl/src/config_table.rs
@@ -1,4 +1,5 @@
 use crate::command_error::{ConflictSnafu, FileSnafu, NotFoundSnafu, OutcomeUnknownSnafu};
+use crate::config_check::{check_platform_config, is_platform_config};
 use crate::{CommandError, Output};
 use agatecourse_config::FleetConfig;
 use agatecourse_platform::{TableClient, TableError, TableRow, TableTransaction};
@@ -177,8 +178,12 @@
 ///
 /// # Errors
 ///
-/// Returns [`CommandError::Invalid`] with all faults, or [`CommandError::File`].
-pub fn check(file: &Path) -> Result<Output, CommandError> {
+/// Returns [`CommandError::Invalid`] or [`CommandError::Unsound`] with all faults, or [`CommandError::File`].
+pub fn check(file: &Path, against: Option<&Path>) -> Result<Output, CommandError> {
+    let text = std::fs::read_to_string(file).context(FileSnafu { path: PathBuf::from(file) })?;
+    if is_platform_config(&text) {
+        return check_platform_config(file, &text, against);
+    }
     let text = read_valid(file)?;
     let file = file.display().to_string();
     Ok(Output::new(format!("{file}: valid"), json!({ "file": file, "bytes": text.len() })))
--- a/crates/agatecoursectl/src/flags.rs
+++ b/crates/agatecoursectl/src/flags.rs
@@ -57,10 +57,12 @@
 
         /// Manages the configuration of the deployment.
         cmd config {
-            /// Checks a configuration and lists all its faults.
+            /// Checks a configuration and lists all its faults. A JSON object is checked as a configuration for the hosting platform.
             cmd check {
                 /// File with the configuration.
                 required file: PathBuf
+                /// File with the configuration in force, for the hosting platform only; what differs is listed.
+                optional --against file: PathBuf
             }
             /// Activates a configuration as the next version.
             cmd put {
--- a/crates/agatecoursectl/src/lib.rs
+++ b/crates/agatecoursectl/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 mod command_error;
+mod config_check;
 mod config_table;
 pub mod keys;
 pub mod node;
--- a/crates/agatecoursectl/src/main.rs
+++ b/crates/agatecoursectl/src/main.rs
@@ -68,7 +68,7 @@
 
 async fn run_config(command: ConfigCmd) -> Result<Output, CommandError> {
     match command {
-        ConfigCmd::Check(flags) => agatecoursectl::check(&flags.file),
+        ConfigCmd::Check(flags) => agatecoursectl::check(&flags.file, flags.against.as_deref()),
         ConfigCmd::Put(flags) => {
             let text = agatecoursectl::read_valid(&flags.file)?;
             ConfigTable::new(flags.table).put(&text, flags.base).await
--- a/crates/agatecoursectl/tests/commands.rs
+++ b/crates/agatecoursectl/tests/commands.rs
@@ -239,3 +239,39 @@
     expect_that!(status(&run_ctl(&["trace", "ab12", "no-such-file"])), eq(1));
     Ok(())
 }
+
+/// A configuration for the hosting platform with one route at `prefix`.
+fn platform_config(version: u64, prefix: &str, service: &str) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"quotes\",\"host\":\"desk.example\",\"pathPrefix\":\"{prefix}\",\
+         \"routeKind\":\"safe\",\"timeoutMs\":6000,\"sloMs\":600,\"service\":\"{service}\",\"maxAttempts\":2}}],\
+         \"services\":[{{\"name\":\"writer\",\"maxConnections\":100}}]}}"
+    )
+}
+
+/// Guards against a check that scripts can't read: the exit status tells sound from unsound, and the output names entry and field, or the
+/// place of a syntax error.
+#[gtest]
+fn platform_configuration_is_checked_before_it_is_sent() -> googletest::Result<()> {
+    let directory = tempfile::tempdir().or_fail()?;
+    let in_force = write(directory.path(), "7.json", &platform_config(7, "/quotes/", "writer"));
+    let next = write(directory.path(), "8.json", &platform_config(8, "/prices/", "writer"));
+    let unsound = write(directory.path(), "9.json", &platform_config(9, "/prices", "lost"));
+    let broken = write(directory.path(), "10.json", "{\"version\":10,\n\"routes\":7}");
+    let output = run_ctl(&["config", "check", &next, "--against", &in_force]);
+    expect_that!(status(&output), eq(0), "{}", stderr(&output));
+    expect_that!(
+        stdout(&output),
+        contains_substring(
+            "refuses: route quotes (desk.example/quotes/): removed; its requests get 404"
+        )
+    );
+    let output = run_ctl(&["--json", "config", "check", &unsound]);
+    expect_that!(status(&output), eq(3));
+    let found: serde_json::Value = serde_json::from_str(&stderr(&output)).or_fail()?;
+    expect_that!(found["errors"].as_u64(), some(eq(2)));
+    let output = run_ctl(&["config", "check", &broken]);
+    expect_that!(status(&output), eq(3));
+    expect_that!(stderr(&output), contains_substring("line 2 column"));
+    Ok(())
+}
