fix(core,gateway): judge versions by answers that ended well, and by route

Cause: a stream counted as a good answer of its version when its head had come, so a version that breaks off its streams was accepted; an answer that nobody waited for to its end did not count at all. Answers were counted over all routes, so a version that fails on a route with few requests was accepted as well.

Change: the answer of a stream counts when the stream has ended, as failed if it broke off, and its time to the first event and its pace are compared with those of the old version. An answer whose caller has left or whose deadline has passed counts as bad if it was slow by then. Counts are kept by route too. The counts by route travel in a message of their own, `RolloutRoutes`, which holds 32 routes; the heartbeat is as before.

--- a/crates/agatecourse-core/src/version/mod.rs
+++ b/crates/agatecourse-core/src/version/mod.rs
@@ -1,5 +1,6 @@
 //! Rollout of new target versions: evaluates their answers and rolls bad versions back.
 
 mod rollout;
+mod route_evidence;
 
-pub use rollout::{Rollout, RolloutCounts, RolloutState};
+pub use rollout::{AnswerTime, Rollout, RolloutCounts, RolloutState, RouteHash};
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -251,7 +251,8 @@
             PeerMessage::Heartbeat(_)
             | PeerMessage::Crash(_)
             | PeerMessage::Cleared { .. }
-            | PeerMessage::Progressed { .. } => {}
+            | PeerMessage::Progressed { .. }
+            | PeerMessage::RolloutRoutes { .. } => {}
         }
     }
 
--- a/crates/agatecourse-gateway/src/process/gateway_versions.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_versions.rs
@@ -1,6 +1,7 @@
+use super::peers::broadcast;
 use super::{Gateway, RolloutOutcome};
 use crate::version::{ServiceId, Target};
-use agatecourse_core::version::RolloutState;
+use agatecourse_core::version::{AnswerTime, RolloutState, RouteHash};
 use agatecourse_types::VersionId;
 use slog::info;
 use std::time::{Duration, Instant};
@@ -50,8 +51,9 @@
         &self,
         service: &ServiceId,
         request_id: &str,
+        route: RouteHash,
     ) -> (VersionId, VersionId) {
-        let rollouts = self.rollouts.borrow();
+        let mut rollouts = self.rollouts.borrow_mut();
         let Some(version) = rollouts.new_version(service) else { return Default::default() };
         let targets = self.targets.borrow();
         let mut of_service = targets.values().filter(|target| target.service == *service);
@@ -60,18 +62,37 @@
             // All targets run the new version, so there is no other version to use instead.
             return Default::default();
         }
-        rollouts.version_constraints(service, request_id, has_new)
+        rollouts.version_constraints(service, request_id, route, has_new)
     }
 
-    /// Records a response of a target for the evaluation of its version.
+    /// Records an answer of a target for the evaluation of its version.
     pub(crate) fn record_answer(
         &self,
         target: &Target,
-        kind: u64,
+        route: RouteHash,
         has_failed: bool,
-        elapsed: Duration,
+        time: AnswerTime,
+    ) {
+        let mut rollouts = self.rollouts.borrow_mut();
+        rollouts.record(&target.service, &target.version, route, has_failed, time);
+    }
+
+    /// Records an answer of a target that nobody waited for to its end.
+    pub(crate) fn record_unfinished_answer(
+        &self,
+        target: &Target,
+        route: RouteHash,
+        time: AnswerTime,
     ) {
         let mut rollouts = self.rollouts.borrow_mut();
-        rollouts.record(&target.service, &target.version, kind, has_failed, elapsed);
+        rollouts.record_unfinished(&target.service, &target.version, route, time);
+    }
+
+    /// Sends the counts of this node by route to all other nodes, while a rollout is in progress.
+    pub(crate) fn send_route_counts(&self) {
+        let reports = self.rollouts.borrow_mut().route_reports();
+        for message in reports {
+            broadcast(self, message);
+        }
     }
 }
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -1,7 +1,7 @@
 use super::DocumentId;
 use agatecourse_core::request::dispatch::{JobNumber, PromptParts, RunReport};
 use agatecourse_core::request::{SuspectKey, SuspectKeys, TargetHash};
-use agatecourse_core::version::{RolloutCounts, RolloutState};
+use agatecourse_core::version::{RolloutCounts, RolloutState, RouteHash};
 use agatecourse_types::{NodeId, TargetId, VersionId, ZoneId};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -240,6 +240,15 @@
         /// Suspects under which requests no longer wait for each other.
         keys: SuspectKeys,
     },
+    /// Counts of the sender by route, for the evaluation of a new version; sent beside heartbeats while a rollout is in progress.
+    RolloutRoutes {
+        /// Hash of the service's name.
+        service: u64,
+        /// Number of the rollout order.
+        order: u64,
+        /// Some of the routes, with all answers that the sender has counted on them.
+        routes: Vec<(RouteHash, RolloutCounts)>,
+    },
 }
 
 /// Datagram between nodes: a message with the name of its sender.
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -112,6 +112,10 @@
         PeerMessage::Progressed { keys } => {
             gateway.record_peer_progress(now, &envelope.from, &keys);
         }
+        PeerMessage::RolloutRoutes { service, order, routes } => {
+            let mut rollouts = gateway.rollouts.borrow_mut();
+            rollouts.record_peer_routes(&envelope.from, service, order, &routes);
+        }
         message => gateway.on_queue_message(now, &envelope.from, message),
     }
 }
@@ -169,6 +173,7 @@
         if next_heartbeat.get() <= now {
             next_heartbeat.set(now + gateway.members.borrow().heartbeat_period());
             send_heartbeats(&gateway, now);
+            gateway.send_route_counts();
             let gone = gateway.members.borrow_mut().remove_silent(now);
             for node in gone {
                 info!(gateway.log, "node forgotten"; "member" => &node);
--- a/crates/agatecourse-gateway/src/process/rollouts.rs
+++ b/crates/agatecourse-gateway/src/process/rollouts.rs
@@ -1,10 +1,13 @@
-use super::RolloutReport;
+use super::{PeerMessage, RolloutReport};
 use crate::version::ServiceId;
-use agatecourse_core::version::{Rollout, RolloutState};
+use agatecourse_core::version::{AnswerTime, Rollout, RolloutCounts, RolloutState, RouteHash};
 use agatecourse_types::{NodeId, VersionId, stable_hash};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// Routes in a message with counts by route, about 20 bytes each, so that the message fits a datagram; the others follow in turn.
+const MAX_REPORTED_ROUTES: usize = 32;
+
 /// Outcome of a rollout, which the adapter records.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutOutcome {
@@ -22,6 +25,8 @@
 #[derive(Debug, Default)]
 pub struct Rollouts {
     by_service: BTreeMap<ServiceId, Rollout>,
+    /// Number of times that counts by route were selected.
+    report_round: usize,
 }
 
 impl Rollouts {
@@ -64,19 +69,19 @@
 
     /// Returns the required and the avoided version of a request; empty for none.
     pub fn version_constraints(
-        &self,
+        &mut self,
         service: &ServiceId,
         request_id: &str,
+        route: RouteHash,
         has_new_targets: bool,
     ) -> (VersionId, VersionId) {
-        match self.by_service.get(service) {
-            Some(rollout) if has_new_targets && rollout.is_canary_request(request_id) => {
-                (rollout.to.clone(), VersionId::new())
-            }
-            Some(rollout) if rollout.is_new_version_avoided() => {
-                (VersionId::new(), rollout.to.clone())
-            }
-            _ => (VersionId::new(), VersionId::new()),
+        let Some(rollout) = self.by_service.get_mut(service) else { return Default::default() };
+        if has_new_targets && rollout.is_canary_request(request_id, route) {
+            (rollout.to.clone(), VersionId::new())
+        } else if rollout.is_new_version_avoided() {
+            (VersionId::new(), rollout.to.clone())
+        } else {
+            Default::default()
         }
     }
 
@@ -85,20 +90,62 @@
         self.by_service.get(service).map(|rollout| &rollout.to)
     }
 
-    /// Records a response of a target for the evaluation of its version.
+    /// Records an answer of a target for the evaluation of its version.
     pub fn record(
         &mut self,
         service: &ServiceId,
         version: &VersionId,
-        kind: u64,
+        route: RouteHash,
         has_failed: bool,
-        elapsed: Duration,
+        time: AnswerTime,
     ) {
         if let Some(rollout) = self.by_service.get_mut(service) {
-            rollout.record(version, kind, has_failed, elapsed);
+            rollout.record(version, route, has_failed, time);
         }
     }
 
+    /// Records an answer that nobody waited for to its end.
+    pub fn record_unfinished(
+        &mut self,
+        service: &ServiceId,
+        version: &VersionId,
+        route: RouteHash,
+        time: AnswerTime,
+    ) {
+        if let Some(rollout) = self.by_service.get_mut(service) {
+            rollout.record_unfinished(version, route, time);
+        }
+    }
+
+    /// Records the counts by route of a peer; ignores those about an unknown service or another order.
+    pub fn record_peer_routes(
+        &mut self,
+        node: &NodeId,
+        service: u64,
+        order: u64,
+        routes: &[(RouteHash, RolloutCounts)],
+    ) {
+        let mut known = self.by_service.iter_mut();
+        if let Some((_, rollout)) = known.find(|(name, _)| service_hash(name) == service)
+            && rollout.order == order
+        {
+            rollout.record_peer_routes(node, routes);
+        }
+    }
+
+    /// Returns messages with counts of this node by route; each call selects others if there are many.
+    pub(crate) fn route_reports(&mut self) -> Vec<PeerMessage> {
+        self.report_round = self.report_round.wrapping_add(1);
+        let offset = self.report_round.wrapping_mul(MAX_REPORTED_ROUTES / 2);
+        let reports = self.by_service.iter().map(|(service, rollout)| PeerMessage::RolloutRoutes {
+            service: service_hash(service),
+            order: rollout.order,
+            routes: rollout.own_route_counts(MAX_REPORTED_ROUTES, offset),
+        });
+        let has_routes = |message: &PeerMessage| matches!(message, PeerMessage::RolloutRoutes { routes, .. } if !routes.is_empty());
+        reports.filter(has_routes).collect()
+    }
+
     /// Records the report of a peer; ignores one about an unknown service or another order.
     pub fn record_peer(&mut self, node: &NodeId, report: &RolloutReport) {
         let known =
--- a/crates/agatecourse-gateway/src/process/run.rs
+++ b/crates/agatecourse-gateway/src/process/run.rs
@@ -225,7 +225,7 @@
         let reply = respond(gateway, &head);
         let mut lines = format!("Content-Type: {}\r\n", reply.content_type);
         if let Some(version) = reply.version {
-            lines.push_str(&format!("ETag: \"{version}\"\r\n"));
+            lines = format!("{lines}ETag: \"{version}\"\r\n");
         }
         let reason = if reply.status == 200 { "OK" } else { "Unavailable" };
         let bytes = CompleteResponse::new(reply.status, reason, lines.as_bytes(), &reply.body)
--- a/crates/agatecourse-gateway/src/request/answer.rs
+++ b/crates/agatecourse-gateway/src/request/answer.rs
@@ -1,5 +1,6 @@
 use crate::connection::{CompleteResponse, ResponseHead, has_no_body};
 use agatecourse_types::{Problem, RequestId, ResultCode};
+use std::fmt::Write;
 use std::time::Duration;
 
 /// Result of a request, from which the caller's connection writes the response or decides to close.
@@ -48,11 +49,12 @@
     problem.status = status;
     let body = serde_json::to_vec(&problem).unwrap_or_default();
     let mut lines = String::from("Content-Type: application/problem+json\r\n");
+    // Writing to a string can't fail.
     if let Some((name, value)) = id {
-        lines.push_str(&format!("{name}: {value}\r\n"));
+        let _ = write!(lines, "{name}: {value}\r\n");
     }
     if let Some(wait) = retry_after {
-        lines.push_str(&format!("Retry-After: {:.3}\r\n", wait.as_secs_f64()));
+        let _ = write!(lines, "Retry-After: {:.3}\r\n", wait.as_secs_f64());
     }
     CompleteResponse::new(status, reason_phrase(status), lines.as_bytes(), &body)
         .with_closes(closes)
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod process_request;
 mod quota_reservation;
 mod relay;
+mod run_evidence;
 mod suspect_keys;
 mod workload;
 
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -6,6 +6,7 @@
 use super::crash_check::{check_for_crash, still_runs};
 use super::outbound::outbound_request;
 use super::relay::{Relay, RelayEnd, RelayOptions};
+use super::run_evidence::RunEvidence;
 use super::{CallerRequest, Reply, serialize_response};
 use crate::connection::{BodyFraming, ResponseHead, TargetConnection};
 use crate::process::{Gateway, Placement, WireJob, may_start_request};
@@ -59,6 +60,8 @@
     closed_grants: u32,
     /// Response of a target to an earlier attempt, which said that it failed; the reply if no later attempt gets a response.
     failed_response: Option<Reply>,
+    /// Evidence of the run in flight on the version of its target.
+    evidence: Option<RunEvidence>,
     /// True while an attempt is in flight; the log line of a request that ends meanwhile counts it.
     is_sending: bool,
     /// Target of the latest attempt, for the log; empty before the first.
@@ -123,6 +126,7 @@
         unsent_attempts: 0,
         closed_grants: 0,
         failed_response: None,
+        evidence: None,
         is_sending: false,
         last_target: TargetId::new(),
         granted_after: None,
@@ -254,7 +258,7 @@
         let expected = admitted.workload.expected_output_tokens.max(1);
         let request_id = self.request.id(&self.gateway.header_names).unwrap_or_default();
         let (version, avoided_version) =
-            self.gateway.version_constraints(&admitted.service, request_id);
+            self.gateway.version_constraints(&admitted.service, request_id, self.request_kind());
         let job = WireJob {
             kind: self.request_kind(),
             rank: admitted.rank,
@@ -356,8 +360,8 @@
             left
         };
         let mut sent = false;
-        let started = Instant::now();
-        self.sent_at = started;
+        self.sent_at = Instant::now();
+        self.evidence = Some(RunEvidence::new(gateway, target, self.request_kind()));
         self.is_sending = true;
         may_have_run.set(true);
         if let Some(quota) = &mut self.admitted.quota {
@@ -374,21 +378,28 @@
         self.sent_attempts += u32::from(sent);
         let is_closed = matches!(end, AttemptEnd::Closed { .. });
         self.unsent_attempts += u32::from(!sent && !is_closed);
-        let has_failed = match &end {
-            AttemptEnd::Complete { head, .. } => Some(head.status >= 500),
-            AttemptEnd::Lost { .. } => Some(true),
-            AttemptEnd::Stream { .. } => Some(false),
-            AttemptEnd::NotSent { .. }
-            | AttemptEnd::Closed { .. }
-            | AttemptEnd::NotRun { .. }
-            | AttemptEnd::WrongTarget => None,
-        };
-        if let Some(has_failed) = has_failed {
-            gateway.record_answer(target, self.request_kind(), has_failed, started.elapsed());
+        // The answer of a stream is good once the stream has ended well.
+        if !matches!(end, AttemptEnd::Stream { .. }) {
+            self.end_evidence(match &end {
+                AttemptEnd::Complete { head, .. } => {
+                    Some(head.status >= 500 || self.relay.has_started())
+                }
+                AttemptEnd::Lost { .. } => Some(true),
+                _ => None,
+            });
         }
         end
     }
 
+    /// Reports whether the run in flight has failed, `None` if its target did not run it, for the evaluation of the target's version.
+    fn end_evidence(&mut self, has_failed: Option<bool>) {
+        let Some(evidence) = self.evidence.take() else { return };
+        match has_failed {
+            Some(has_failed) => evidence.end(has_failed),
+            None => evidence.discard(),
+        }
+    }
+
     /// Reports the end of an attempt to the queue and decides whether to reply or to retry.
     async fn handle_attempt_end(
         &mut self,
@@ -492,12 +503,13 @@
         mut connection: TargetConnection,
     ) -> NextStep {
         let gateway = self.gateway;
-        let keys = &self.admitted.suspect_keys;
         let options = RelayOptions {
             header_names: &gateway.header_names,
             closes: self.closes,
             stall_limit: self.stall_limit(),
         };
+        let keys = &self.admitted.suspect_keys;
+        let evidence = &mut self.evidence;
         let mut end = self
             .relay
             .forward_stream(
@@ -505,7 +517,15 @@
                 &mut connection,
                 caller,
                 options,
-                || gateway.record_progress(Instant::now(), keys),
+                |is_second| {
+                    let now = Instant::now();
+                    if let Some(evidence) = evidence {
+                        evidence.record_events(now);
+                    }
+                    if is_second {
+                        gateway.record_progress(now, keys);
+                    }
+                },
                 || gateway.try_retry(&self.admitted.service),
             )
             .await;
@@ -521,6 +541,9 @@
                 RelayEnd::Complete
             };
         }
+        if !matches!(end, RelayEnd::CallerDisconnected) {
+            self.end_evidence(Some(!matches!(end, RelayEnd::Complete)));
+        }
         if let Some(first) = self.relay.first_event {
             let elapsed = first.saturating_duration_since(self.request.arrived);
             gateway.metrics.first_byte_seconds.observe(elapsed.as_secs_f64());
--- a/crates/agatecourse-gateway/src/request/relay.rs
+++ b/crates/agatecourse-gateway/src/request/relay.rs
@@ -67,8 +67,8 @@
         self.splitter.last_id()
     }
 
-    /// Forwards events as they arrive; the response head is sent with the first event. Calls `on_progress` once when the answer
-    /// goes on after its first events. If no complete event arrives for the stall limit, ends the stream when `gives_up` returns true, else
+    /// Forwards events as they arrive; the response head is sent with the first event. Calls `on_events` when events arrive, with true once
+    /// when the answer goes on after its first events. If no complete event arrives for the stall limit, ends the stream when `gives_up` returns true, else
     /// waits on without a limit.
     ///
     /// A target that resumes the stream must answer in the format of the first, with events that follow the last one: its response may be
@@ -79,7 +79,7 @@
         connection: &mut TargetConnection,
         caller: &mut OwnedWriteHalf,
         options: RelayOptions<'_>,
-        on_progress: impl Fn(),
+        mut on_events: impl FnMut(bool),
         gives_up: impl Fn() -> bool,
     ) -> RelayEnd {
         let RelayOptions { header_names, closes, mut stall_limit } = options;
@@ -133,10 +133,9 @@
                 continue;
             }
             last_progress = Instant::now();
-            if has_events && !self.answer_goes_on {
-                self.answer_goes_on = true;
-                on_progress();
-            }
+            let is_second = has_events && !self.answer_goes_on;
+            self.answer_goes_on |= is_second;
+            on_events(is_second);
             has_events = true;
             if self.write_events(caller, &events).await.is_err() {
                 return RelayEnd::CallerDisconnected;
