--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -1,7 +1,7 @@
 use super::DocumentId;
 use agatecourse_core::request::dispatch::{JobNumber, PromptParts, RunReport};
 use agatecourse_core::request::{SuspectKey, SuspectKeys, TargetHash};
-use agatecourse_core::version::{RolloutCounts, RolloutState};
+use agatecourse_core::version::{RolloutCounts, RolloutState, RouteHash};
 use agatecourse_types::{NodeId, TargetId, VersionId, ZoneId};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -262,6 +262,15 @@
         /// Suspects under which requests no longer wait for each other.
         keys: SuspectKeys,
     },
+    /// Counts of the sender by route, for the evaluation of a new version; sent beside heartbeats while a rollout is in progress.
+    RolloutRoutes {
+        /// Hash of the service's name.
+        service: u64,
+        /// Number of the rollout order.
+        order: u64,
+        /// Some of the routes, with all answers that the sender has counted on them.
+        routes: Vec<(RouteHash, RolloutCounts)>,
+    },
 }
 
 impl PeerMessage {
@@ -278,6 +287,7 @@
             Self::Crash(_) => "crash",
             Self::Cleared { .. } => "cleared",
             Self::Progressed { .. } => "progressed",
+            Self::RolloutRoutes { .. } => "rollout routes",
         }
     }
 }
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -146,6 +146,10 @@
         PeerMessage::Progressed { keys } => {
             gateway.record_peer_progress(now, &envelope.from, &keys);
         }
+        PeerMessage::RolloutRoutes { service, order, routes } => {
+            let mut rollouts = gateway.rollouts.borrow_mut();
+            rollouts.record_peer_routes(&envelope.from, service, order, &routes);
+        }
         message => gateway.on_queue_message(now, &envelope.from, message),
     }
 }
@@ -211,6 +215,7 @@
         if next_heartbeat.get() <= now {
             next_heartbeat.set(now + gateway.members.borrow().heartbeat_period());
             send_heartbeats(&gateway, now);
+            gateway.send_route_counts();
             let removed = gateway.members.borrow_mut().remove_silent(now);
             for node in &removed.lost {
                 warn!(gateway.log, "node lost"; "member" => node);
