feat(quota): an organisation's cheap flood leaves its urgent requests their quota

Cause: a quota knew no rank. Near its limit an organisation's cheap flood used up the tokens that its own urgent requests lacked a moment later.

Change: `QuotaReserve` in the core counts by rank what an organisation asks for and gets. What the more urgent ranks are expected to ask for in a window, with what random arrivals may add, and have not got is kept from the others once half of the limit is used, and lent back as the demand leaves the window. Urgent requests may exceed their node's share as long as what is unused is enough for what all nodes expect of their ranks until the next reports. Heartbeats carry the demand by rank of up to four organisations near their limit. A rank alone has no reserve.

--- a/crates/agatecourse-core/src/request/mod.rs
+++ b/crates/agatecourse-core/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod key_owner;
 mod quarantine;
 mod quota_bounds;
+mod quota_reserve;
 mod quota_window;
 mod token_bucket;
 mod use_history;
@@ -16,6 +17,7 @@
 pub use key_owner::{KeyDecision, KeyOwner, decide_key};
 pub use quarantine::{Admission, Quarantine, QuarantineEvent};
 pub use quota_bounds::{BoundDemand, BoundEntry, BoundPlan, QuotaBounds};
+pub use quota_reserve::{MAX_REPORTED_RANKS, QuotaReserve, RankReport, RankReports, RankTerms};
 pub use quota_window::{QuotaRefusal, QuotaWindow};
 pub use token_bucket::TokenBucket;
 pub use use_history::UseHistory;
--- /dev/null
+++ b/crates/agatecourse-core/src/request/quota_reserve.rs
@@ -0,0 +1,198 @@
+use agatecourse_types::NodeId;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Time resolution of the amounts.
+const BUCKET: Duration = Duration::from_millis(250);
+/// Part of a window from which the newest demand is extrapolated, so that a rise shows before a window has passed.
+const RECENT_DIVISOR: u32 = 4;
+/// Divisor of the demand of urgent ranks that gives an addition to their reserve, as the demand grows between windows.
+const MARGIN_DIVISOR: u64 = 8;
+/// Age from which a peer's report is not used; several heartbeat periods of a large deployment.
+const STALE_AFTER: Duration = Duration::from_secs(3);
+/// Maximum number of ranks in a report, the most urgent ones; more of them are one.
+pub const MAX_REPORTED_RANKS: usize = 4;
+
+/// Reserves a part of an organisation's quota for its more urgent requests.
+///
+/// Without it, a flood of cheap requests uses up the quota that the organisation's own urgent requests need a moment later. Each node counts
+/// what the ranks of the organisation have asked for and got in the window, and reports it to the others. What the more urgent ranks are expected to ask for and
+/// have not got is kept from the others; it is lent back as the demand for it leaves the window. A rank alone has no reserve.
+///
+/// ```
+/// use agatecourse_core::request::QuotaReserve;
+/// use std::time::{Duration, Instant};
+///
+/// let now = Instant::now();
+/// let mut reserve = QuotaReserve::new(Duration::from_secs(8));
+/// reserve.record_asked(now, 0, 800);
+/// reserve.record_got(now, 0, 800);
+/// assert_eq!(reserve.terms(now, 0).reserved, 0);
+/// // The rank is expected to go on in the next window.
+/// assert!(reserve.terms(now, 1).reserved > 0);
+/// ```
+#[derive(Debug, Clone)]
+pub struct QuotaReserve {
+    width: Duration,
+    own: BTreeMap<u32, RankAmounts>,
+    peers: BTreeMap<NodeId, (Instant, RankReports)>,
+}
+
+/// What a rank has asked for and got on one node within a window.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankReport {
+    /// Rank of the requests; 0 is served first.
+    pub rank: u32,
+    /// Amount that the rank has asked for in the window.
+    pub asked: u64,
+    /// Amount that the rank has asked for in the newest quarter of the window.
+    pub asked_recently: u64,
+    /// Number of requests of the rank that have asked in the window.
+    pub requests: u32,
+    /// Amount that the rank got.
+    pub got: u64,
+}
+
+/// Reports of the ranks of an organisation.
+pub type RankReports = SmallVec<[RankReport; MAX_REPORTED_RANKS]>;
+
+/// Terms of a rank for its part of the quota.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RankTerms {
+    /// Amount that is kept for more urgent ranks.
+    pub reserved: u64,
+    /// Amount that this rank and the more urgent ones are expected to ask for in a window at all nodes; `None` if no less urgent rank asks, so that
+    /// there is nothing to be preferred to.
+    pub expected: Option<u64>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct RankAmounts {
+    /// Amounts that were asked for and got, by time.
+    buckets: VecDeque<(Instant, RankReport)>,
+}
+
+impl RankReport {
+    fn add(&mut self, other: &Self) {
+        self.asked += other.asked;
+        self.asked_recently += other.asked_recently;
+        self.requests += other.requests;
+        self.got += other.got;
+    }
+
+    /// Returns the amount that is expected to be asked for in a window. It is meant for the sum over all nodes, as the newest demand of one node varies much.
+    fn expected(&self) -> u64 {
+        self.asked.max(self.asked_recently * u64::from(RECENT_DIVISOR))
+    }
+
+    /// Returns the expected amount with what random arrivals may add to it in a window: two standard deviations of the sum of as many requests.
+    fn needed(&self) -> u64 {
+        let expected = self.expected();
+        let mean = self.asked as f64 / f64::from(self.requests.max(1));
+        let spread = (expected as f64 * mean).sqrt() * 2.0;
+        expected + expected / MARGIN_DIVISOR + spread as u64
+    }
+}
+
+impl RankAmounts {
+    fn add(&mut self, now: Instant, amounts: &RankReport) {
+        match self.buckets.back_mut() {
+            Some((at, sum)) if now.saturating_duration_since(*at) < BUCKET => sum.add(amounts),
+            _ => self.buckets.push_back((now, *amounts)),
+        }
+    }
+
+    fn report(&self, now: Instant, rank: u32, width: Duration) -> RankReport {
+        let mut report = RankReport { rank, ..RankReport::default() };
+        for (at, amounts) in &self.buckets {
+            let is_recent = now.saturating_duration_since(*at) < width / RECENT_DIVISOR;
+            report.add(amounts);
+            report.asked_recently += if is_recent { amounts.asked } else { 0 };
+        }
+        report
+    }
+}
+
+impl QuotaReserve {
+    /// Creates a reserve without demand; `width` is the time for which an amount counts.
+    pub fn new(width: Duration) -> Self {
+        Self { width, own: BTreeMap::new(), peers: BTreeMap::new() }
+    }
+
+    /// Records that a request of a rank asks for an amount on this node.
+    pub fn record_asked(&mut self, now: Instant, rank: u32, amount: u64) {
+        let asked = RankReport { asked: amount, requests: 1, ..RankReport::default() };
+        self.own.entry(rank).or_default().add(now, &asked);
+    }
+
+    /// Records that a request of a rank got an amount on this node.
+    pub fn record_got(&mut self, now: Instant, rank: u32, amount: u64) {
+        let got = RankReport { got: amount, ..RankReport::default() };
+        self.own.entry(rank).or_default().add(now, &got);
+    }
+
+    /// Records that an amount that a request of a rank got was not used.
+    pub fn record_released(&mut self, rank: u32, amount: u64) {
+        let newest = self.own.get_mut(&rank).and_then(|amounts| amounts.buckets.back_mut());
+        if let Some((_, sum)) = newest {
+            sum.got = sum.got.saturating_sub(amount);
+        }
+    }
+
+    /// Records what a peer reports, in place of its previous report.
+    pub fn record_peer(&mut self, now: Instant, node: NodeId, reports: RankReports) {
+        self.peers.insert(node, (now, reports));
+    }
+
+    /// Returns what the ranks have asked for and got on this node, for the other nodes.
+    pub fn reports(&mut self, now: Instant) -> RankReports {
+        self.expire(now);
+        let mut reports = RankReports::new();
+        for (rank, amounts) in &self.own {
+            let report = amounts.report(now, *rank, self.width);
+            let is_full = reports.len() == MAX_REPORTED_RANKS;
+            match reports.last_mut() {
+                Some(last) if is_full => last.add(&report),
+                _ => reports.push(report),
+            }
+        }
+        reports
+    }
+
+    /// Returns the terms of a rank, from what all nodes have reported.
+    pub fn terms(&mut self, now: Instant, rank: u32) -> RankTerms {
+        self.expire(now);
+        let own = self.own.iter().map(|(rank, amounts)| amounts.report(now, *rank, self.width));
+        let peers = self.peers.values().flat_map(|(_, reports)| reports.iter().copied());
+        let (mut above, mut own_and_above) = (RankReport::default(), RankReport::default());
+        let mut has_less_urgent = false;
+        for report in own.chain(peers) {
+            if report.rank < rank {
+                above.add(&report);
+            }
+            if report.rank <= rank {
+                own_and_above.add(&report);
+            }
+            has_less_urgent |= report.rank > rank && report.asked > 0;
+        }
+        RankTerms {
+            reserved: above.needed().saturating_sub(above.got),
+            expected: has_less_urgent.then(|| own_and_above.expected()),
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let width = self.width;
+        self.own.retain(|_, amounts| {
+            let is_old = |at: &Instant| now.saturating_duration_since(*at) >= width;
+            while amounts.buckets.front().is_some_and(|(at, _)| is_old(at)) {
+                amounts.buckets.pop_front();
+            }
+            !amounts.buckets.is_empty()
+        });
+        self.peers
+            .retain(|_, (reported, _)| now.saturating_duration_since(*reported) < STALE_AFTER);
+    }
+}
--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -1,5 +1,5 @@
-use super::UseHistory;
 use super::quota_bounds::effective_bound;
+use super::{RankTerms, UseHistory};
 use agatecourse_types::{NodeId, stable_hash};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -18,6 +18,11 @@
 const REPORT_MARGIN: Duration = Duration::from_millis(50);
 /// Largest part of the unused quota that is shared in proportion to the nodes' use; the rest is shared equally.
 const MAX_PROPORTIONAL_WEIGHT: f64 = 0.5;
+/// Divisor of the limit that gives the use from which a reserve for urgent requests is kept; far below the limit it would only cost others.
+const RESERVE_FROM_DIVISOR: u64 = 2;
+/// Divisor of what urgent requests are expected to need until the next reports that gives the part which one node may give beyond its share, as requests are
+/// spread unevenly.
+const URGENT_SHARE_DIVISOR: u64 = 2;
 /// Weight of the newest period in the share of periods in which a node is asked for a quota; a burst shows after two or three periods.
 const ASK_RATIO_WEIGHT: f64 = 0.25;
 
@@ -155,6 +160,8 @@
     pub is_bounded: bool,
     /// Bound under which this node could have reserved the amount.
     pub needed_bound: u64,
+    /// Amount that is kept for more urgent requests of the organisation.
+    pub reserved: u64,
 }
 
 /// Share of the unused quota that a node may reserve until its peers have reported again.
@@ -169,6 +176,8 @@
     fraction: f64,
     share: u64,
     taken: u64,
+    /// Part of `taken` that exceeded the share because it was urgent.
+    taken_urgent: u64,
 }
 
 impl QuotaWindow {
@@ -401,11 +410,36 @@
         amount: u64,
         limit: u64,
         slack: u64,
+    ) -> Result<(), QuotaRefusal> {
+        self.try_reserve_ranked(now, amount, limit, slack, RankTerms::default())
+    }
+
+    /// Reserves an amount for a request of a rank, as [`QuotaWindow::try_reserve`] does.
+    ///
+    /// What is reserved for more urgent ranks is kept free once half of the limit is used. A request that others of its organisation are less urgent than may
+    /// exceed its node's share, as long as what is unused is enough for all that its rank and the more urgent ones are expected to ask for
+    /// until the nodes have reported again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the counts if the amount exceeds the limit, this node's share or what is not reserved.
+    pub fn try_reserve_ranked(
+        &mut self,
+        now: Instant,
+        amount: u64,
+        limit: u64,
+        slack: u64,
+        terms: RankTerms,
     ) -> Result<(), QuotaRefusal> {
         let use_of_all = self.estimate_use(now, limit);
         let used = use_of_all.total();
         let is_bounded = self.bound.is_some_and(|bound| bound < limit);
+        let full_limit = limit;
         let limit = self.bound.map_or(limit, |bound| bound.min(limit));
+        // Urgent requests also get what a higher bound allows.
+        let is_near_limit = used >= full_limit / RESERVE_FROM_DIVISOR;
+        let reserved = if is_near_limit { terms.reserved } else { 0 };
+        let reserved = reserved.saturating_sub(full_limit - limit).min(limit);
         let mut period = match self.period {
             Some(period) if now.saturating_duration_since(period.started) < self.share_period() => {
                 period
@@ -420,11 +454,25 @@
             period.unused += raised;
             period.share += (raised as f64 * period.fraction) as u64;
         }
-        let fits_share = period.taken + amount <= period.share;
-        let fits_first = period.taken == 0 && amount <= self.first_amount_limit(&period, slack);
-        let fits = used + amount <= limit && (fits_share || fits_first);
+        let free = period.unused.saturating_sub(reserved);
+        let free_part = free as f64 / period.unused.max(1) as f64;
+        let free_share =
+            if reserved == 0 { period.share } else { (period.share as f64 * free_part) as u64 };
+        let fits_share = period.taken + amount <= free_share;
+        let fits_first =
+            period.taken == 0 && amount <= self.first_amount_limit(free, slack, self.ask_ratio);
+        let fits_urgent = is_near_limit
+            && terms.expected.is_some_and(|expected| {
+                let due = expected.saturating_mul(self.share_period().as_millis() as u64)
+                    / self.width.as_millis().max(1) as u64;
+                let most = due / URGENT_SHARE_DIVISOR;
+                due <= free + slack / 2
+                    && (period.taken_urgent == 0 || period.taken_urgent + amount <= most)
+            });
+        let fits = used + amount + reserved <= limit && (fits_share || fits_first || fits_urgent);
         if fits {
             period.taken += amount;
+            period.taken_urgent += if fits_share || fits_first { 0 } else { amount };
             self.reserved += amount;
         }
         self.period = Some(period);
@@ -435,8 +483,8 @@
         let (share, taken) = (period.share, period.taken);
         let missing_share = (taken + amount).saturating_sub(share);
         let needed_for_share = limit + (missing_share as f64 / period.fraction) as u64;
-        let needed_bound = needed_for_share.max(used + amount);
-        Err(QuotaRefusal { used, own, limit, share, taken, is_bounded, needed_bound })
+        let needed_bound = needed_for_share.max(used + amount + reserved);
+        Err(QuotaRefusal { used, own, limit, share, taken, is_bounded, needed_bound, reserved })
     }
 
     fn start_period(
@@ -468,7 +516,7 @@
         let slack_share = slack as f64 / nodes / 2.0;
         let share = (of_all.min(of_live) + slack_share) as u64;
         let unused = limit.saturating_sub(use_of_all.total());
-        SharePeriod { started: now, limit, unused, fraction, share, taken: 0 }
+        SharePeriod { started: now, limit, unused, fraction, share, taken: 0, taken_urgent: 0 }
     }
 
     /// Returns the largest amount that this node may send as the first of a period although it exceeds the node's share.
@@ -476,9 +524,9 @@
     /// Requests are larger than the shares of many nodes, and all nodes may send one before they hear of each other. So the nodes that are
     /// expected to ask may take, on average, what is unused with the slack: a node may take an amount that is larger by a factor with the inverse
     /// probability. The draw is made once a period, so that repeats of a request do not change it.
-    fn first_amount_limit(&self, period: &SharePeriod, slack: u64) -> u64 {
-        let asking_nodes = (self.node_count() as f64 * self.ask_ratio).max(1.0);
-        ((period.unused + slack / 2) as f64 / asking_nodes / self.draw()) as u64
+    fn first_amount_limit(&self, unused: u64, slack: u64, ask_ratio: f64) -> u64 {
+        let asking_nodes = (self.node_count() as f64 * ask_ratio).max(1.0);
+        ((unused + slack / 2) as f64 / asking_nodes / self.draw()) as u64
     }
 
     /// Returns a number between 0 and 1 that differs between nodes and periods.
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -1,8 +1,8 @@
 use super::members::LOST_SHARE_TIME;
-use super::{Gateway, Heartbeat, OrganisationUse, QuotaReport};
+use super::{Gateway, Heartbeat, OrganisationUse, QuotaReport, RankDemand};
 use crate::version::{Organisation, Quota};
 use agatecourse_core::request::{
-    BoundDemand, BoundEntry, BoundPlan, QuotaBounds, QuotaRefusal, QuotaWindow,
+    BoundDemand, BoundEntry, BoundPlan, QuotaBounds, QuotaRefusal, QuotaReserve, QuotaWindow,
 };
 use agatecourse_types::{NodeId, OrganisationId, stable_hash};
 use slog::info;
@@ -24,6 +24,13 @@
 /// Divisor of the bytes for use in a heartbeat that gives those for the organisations that were listed least recently.
 const TURN_BYTES_DIVISOR: usize = 4;
 
+/// Use from which the nodes tell each other the demand by rank of an organisation, in millionths of its limit; a reserve is kept from half of the limit on.
+const RANKS_FROM_PPM: u64 = 400_000;
+
+/// Maximum number of organisations with their demand by rank in a heartbeat, about 50 bytes each. The demand of the others is known from the
+/// requests at the node itself only.
+const MAX_HEARTBEAT_DEMANDS: usize = 4;
+
 /// Time within which a peer lists each organisation with any use: 290 organisations at 87 nodes take ten heartbeats of 0.46 s.
 const LIST_TURN: Duration = Duration::from_secs(5);
 
@@ -49,6 +56,8 @@
     listed: BTreeMap<OrganisationId, (u64, u64)>,
     /// Number of heartbeats with use so far.
     list_round: u64,
+    /// Reserves for the more urgent requests of organisations.
+    reserves: BTreeMap<OrganisationId, QuotaReserve>,
     /// Other nodes that share the quotas.
     sharing_nodes: BTreeSet<NodeId>,
 }
@@ -102,19 +111,36 @@
         &self,
         now: Instant,
         organisation: &Organisation,
+        rank: u32,
         amount: u64,
     ) -> Result<(), QuotaRefusal> {
         let Some(quota) = organisation.quota else { return Ok(()) };
         let (limit, slack) = self.quota_limit(now, &quota);
         let name = &organisation.name;
         let mut quotas = self.quotas.borrow_mut();
+        let quotas = &mut *quotas;
         let bound = quotas.bounds.enforced(name, limit);
         let window =
             quotas.windows.entry(name.clone()).or_insert_with(|| self.new_quota_window(name));
         window.set_bound(bound);
         window.set_expected_nodes(self.quota_node_count(now));
         window.set_report_period(self.members.borrow().heartbeat_period());
-        let reserved = window.try_reserve(now, amount, limit, slack);
+        let reserve = quotas
+            .reserves
+            .entry(name.clone())
+            .or_insert_with(|| QuotaReserve::new(self.settings.quota_window));
+        let terms = reserve.terms(now, rank);
+        let reserved = window.try_reserve_ranked(now, amount, limit, slack, terms);
+        // A request that waits for a higher bound asks again.
+        if !reserved.as_ref().is_err_and(|refusal| refusal.is_bounded) {
+            reserve.record_asked(now, rank, amount);
+        }
+        if reserved.is_ok() {
+            reserve.record_got(now, rank, amount);
+        } else {
+            let kind = if terms.expected.is_some() { "urgent" } else { "other" };
+            self.metrics.quota_refusals.with_label_values(&[kind]).inc();
+        }
         if let Err(refusal) = &reserved
             && refusal.is_bounded
         {
@@ -292,10 +318,14 @@
     }
 
     /// Releases a reserved amount that was not sent.
-    pub(crate) fn release_quota(&self, organisation: &OrganisationId, amount: u64) {
-        if let Some(window) = self.quotas.borrow_mut().windows.get_mut(organisation) {
+    pub(crate) fn release_quota(&self, organisation: &OrganisationId, rank: u32, amount: u64) {
+        let mut quotas = self.quotas.borrow_mut();
+        if let Some(window) = quotas.windows.get_mut(organisation) {
             window.release(amount);
         }
+        if let Some(reserve) = quotas.reserves.get_mut(organisation) {
+            reserve.record_released(rank, amount);
+        }
     }
 
     /// Keeps counting the use of a peer's earlier process after the peer has restarted.
@@ -375,6 +405,29 @@
         report
     }
 
+    /// Returns what the ranks of organisations near their limit have asked for and got on this node, for a heartbeat; the organisations with most use
+    /// in relation to their limit if there are many of them.
+    pub(crate) fn rank_demands(&self, now: Instant) -> Vec<RankDemand> {
+        let Some(deployment) = self.deployment() else { return Vec::new() };
+        let mut quotas = self.quotas.borrow_mut();
+        let Quotas { windows, reserves, .. } = &mut *quotas;
+        let mut demands = Vec::new();
+        for (name, reserve) in reserves {
+            let quota = deployment.organisations.get(name).and_then(|it| it.quota);
+            let Some((quota, window)) = quota.zip(windows.get_mut(name)) else { continue };
+            let (limit, _) = self.quota_limit(now, &quota);
+            let used_ppm = window.known_use(now, limit).saturating_mul(1_000_000) / limit.max(1);
+            let ranks = reserve.reports(now);
+            if used_ppm >= RANKS_FROM_PPM && !ranks.is_empty() {
+                let organisation = stable_hash(&[name.as_bytes()]);
+                demands.push((used_ppm, RankDemand { organisation, ranks }));
+            }
+        }
+        demands.sort_by_key(|(used_ppm, _)| Reverse(*used_ppm));
+        demands.truncate(MAX_HEARTBEAT_DEMANDS);
+        demands.into_iter().map(|(_, demand)| demand).collect()
+    }
+
     /// Records the use of organisations that a peer reports.
     pub(crate) fn record_peer_usage(&self, now: Instant, node: &NodeId, heartbeat: &Heartbeat) {
         let Some(deployment) = self.deployment() else { return };
@@ -423,6 +476,15 @@
                 window.record_older_peer_total(now, node.clone(), total);
             }
         }
+        for demand in &heartbeat.rank_demands {
+            let is_meant =
+                |name: &&OrganisationId| stable_hash(&[name.as_bytes()]) == demand.organisation;
+            if let Some(name) = deployment.organisations.keys().find(is_meant) {
+                let reserve =
+                    quotas.reserves.entry(name.clone()).or_insert_with(|| QuotaReserve::new(width));
+                reserve.record_peer(now, node.clone(), demand.ranks.clone());
+            }
+        }
         drop(quotas);
         if heartbeat.unlisted_growth_ppm.is_some() {
             let version = heartbeat.quota_bounds_version;
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -26,6 +26,7 @@
     pub(crate) source_calls: IntCounterVec,
     pub(crate) peer_messages: IntCounterVec,
     pub(crate) owner_changes: IntCounter,
+    pub(crate) quota_refusals: IntCounterVec,
     pub(crate) quarantined_keys: IntGauge,
 }
 
@@ -91,6 +92,12 @@
                 "queue_owner_changes_total",
                 "Changes of the owner of a queue",
             )?,
+            quota_refusals: counters(
+                &registry,
+                "quota_refusals_total",
+                "Requests that did not get their part of a quota at once, by whether others of their organisation are less urgent",
+                &["kind"],
+            )?,
             quarantined_keys: gauge(
                 &registry,
                 "quarantined_keys",
--- a/crates/agatecourse-gateway/src/process/mod.rs
+++ b/crates/agatecourse-gateway/src/process/mod.rs
@@ -27,7 +27,7 @@
 pub(crate) use metrics::Metrics;
 pub use peer_message::{
     ClosureNotice, CrashNotice, Heartbeat, LimitNotice, LostNotice, NodeCapacity, OrganisationUse,
-    PeerMessage, QuarantineNotice, QuotaReport, RolloutReport, WireJob,
+    PeerMessage, QuarantineNotice, QuotaReport, RankDemand, RolloutReport, WireJob,
 };
 pub use peers::PeerEndpoint;
 pub use rollouts::{RolloutOutcome, Rollouts};
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -1,6 +1,6 @@
 use super::DocumentId;
 use agatecourse_core::request::dispatch::{JobNumber, PromptParts, RunReport};
-use agatecourse_core::request::{SuspectKey, SuspectKeys, TargetHash};
+use agatecourse_core::request::{RankReports, SuspectKey, SuspectKeys, TargetHash};
 use agatecourse_core::version::{RolloutCounts, RolloutState};
 use agatecourse_types::{NodeId, TargetId, VersionId, ZoneId};
 use serde::{Deserialize, Serialize};
@@ -59,6 +59,17 @@
     /// `None` if `usage` lists all organisations that have used something. If they don't fit the message, they go in turn, and this is the largest growth of the
     /// own use of an organisation since it was listed, of those that are missing, in millionths of its limit.
     pub unlisted_growth_ppm: Option<u32>,
+    /// Demand by rank of some of the organisations that are near their limit.
+    pub rank_demands: Vec<RankDemand>,
+}
+
+/// What the ranks of an organisation have asked for and got on the sending node in the quota window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankDemand {
+    /// Hash of the organisation's name.
+    pub organisation: u64,
+    /// Values of the ranks, the most urgent first.
+    pub ranks: RankReports,
 }
 
 /// A node that has been silent for long, with an age in place of a time because the clocks of nodes differ.
--- a/crates/agatecourse-gateway/src/request/admission.rs
+++ b/crates/agatecourse-gateway/src/request/admission.rs
@@ -95,10 +95,12 @@
             } else {
                 1
             };
-            if let Err(refusal) = gateway.reserve_quota(now, organisation, amount) {
+            if let Err(refusal) = gateway.reserve_quota(now, organisation, admitted.rank, amount) {
                 let reason = format!(
-                    "{} asks for {amount}, {} of {} used, {} of them here, {} of {} taken this period, configuration {}",
+                    "{} asks for {amount} with rank {}, {} kept for more urgent ranks, {} of {} used, {} of them here, {} of {} taken this period, configuration {}",
                     organisation.name,
+                    admitted.rank,
+                    refusal.reserved,
                     refusal.used,
                     refusal.limit,
                     refusal.own,
@@ -114,7 +116,8 @@
                     AdmissionError::Refused(Reply::refusal(code, QUOTA_RETRY, reason))
                 });
             }
-            admitted.quota = Some(QuotaReservation::new(gateway, &organisation.name, amount));
+            let rank = admitted.rank;
+            admitted.quota = Some(QuotaReservation::new(gateway, &organisation.name, rank, amount));
         }
     }
     Ok(admitted)
