--- a/crates/agatecourse-core/src/request/quota_reserve.rs
+++ b/crates/agatecourse-core/src/request/quota_reserve.rs
@@ -38,6 +38,8 @@
     width: Duration,
     own: BTreeMap<u32, RankAmounts>,
     peers: BTreeMap<NodeId, (Instant, RankReports)>,
+    /// Time of the first amount that this node or a peer has recorded.
+    first_record: Option<Instant>,
 }
 
 /// What a rank has asked for and got on one node within a window.
@@ -63,9 +65,10 @@
 pub struct RankTerms {
     /// Amount that is kept for more urgent ranks.
     pub reserved: u64,
-    /// Amount that this rank and the more urgent ones are expected to ask for in a window at all nodes; `None` if no less urgent rank asks, so that
-    /// there is nothing to be preferred to.
+    /// Amount that this rank and the more urgent ones are expected to ask for in a window at all nodes; `None` until the demand is known.
     pub expected: Option<u64>,
+    /// Number of nodes that have reported what they were asked for, with this one.
+    pub reporting_nodes: usize,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -118,11 +121,12 @@
 impl QuotaReserve {
     /// Creates a reserve without demand; `width` is the time for which an amount counts.
     pub fn new(width: Duration) -> Self {
-        Self { width, own: BTreeMap::new(), peers: BTreeMap::new() }
+        Self { width, own: BTreeMap::new(), peers: BTreeMap::new(), first_record: None }
     }
 
     /// Records that a request of a rank asks for an amount on this node.
     pub fn record_asked(&mut self, now: Instant, rank: u32, amount: u64) {
+        self.first_record.get_or_insert(now);
         let asked = RankReport { asked: amount, requests: 1, ..RankReport::default() };
         self.own.entry(rank).or_default().add(now, &asked);
     }
@@ -143,6 +147,7 @@
 
     /// Records what a peer reports, in place of its previous report.
     pub fn record_peer(&mut self, now: Instant, node: NodeId, reports: RankReports) {
+        self.first_record.get_or_insert(now);
         self.peers.insert(node, (now, reports));
     }
 
@@ -167,7 +172,6 @@
         let own = self.own.iter().map(|(rank, amounts)| amounts.report(now, *rank, self.width));
         let peers = self.peers.values().flat_map(|(_, reports)| reports.iter().copied());
         let (mut above, mut own_and_above) = (RankReport::default(), RankReport::default());
-        let mut has_less_urgent = false;
         for report in own.chain(peers) {
             if report.rank < rank {
                 above.add(&report);
@@ -175,14 +179,21 @@
             if report.rank <= rank {
                 own_and_above.add(&report);
             }
-            has_less_urgent |= report.rank > rank && report.asked > 0;
         }
         RankTerms {
             reserved: above.needed().saturating_sub(above.got),
-            expected: has_less_urgent.then(|| own_and_above.expected()),
+            expected: self.knows_demand(now).then(|| own_and_above.expected()),
+            reporting_nodes: self.peers.len() + 1,
         }
     }
 
+    /// Returns whether the newest demand is known for as long as it is extrapolated from.
+    fn knows_demand(&self, now: Instant) -> bool {
+        self.first_record.is_some_and(|first| {
+            now.saturating_duration_since(first) >= self.width / RECENT_DIVISOR + BUCKET
+        })
+    }
+
     fn expire(&mut self, now: Instant) {
         let width = self.width;
         self.own.retain(|_, amounts| {
--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -20,9 +20,9 @@
 const MAX_PROPORTIONAL_WEIGHT: f64 = 0.5;
 /// Divisor of the limit that gives the use from which a reserve for urgent requests is kept; far below the limit it would only cost others.
 const RESERVE_FROM_DIVISOR: u64 = 2;
-/// Divisor of what urgent requests are expected to need until the next reports that gives the part which one node may give beyond its share, as requests are
+/// Divisor of what all nodes expect to be asked for until the next reports that gives the part which one node may give beyond its share, as requests are
 /// spread unevenly.
-const URGENT_SHARE_DIVISOR: u64 = 2;
+const BEYOND_SHARE_DIVISOR: u64 = 2;
 /// Weight of the newest period in the share of periods in which a node is asked for a quota; a burst shows after two or three periods.
 const ASK_RATIO_WEIGHT: f64 = 0.25;
 
@@ -176,8 +176,8 @@
     fraction: f64,
     share: u64,
     taken: u64,
-    /// Part of `taken` that exceeded the share because it was urgent.
-    taken_urgent: u64,
+    /// Part of `taken` that exceeded the share because enough is unused for all that is expected.
+    taken_beyond: u64,
 }
 
 impl QuotaWindow {
@@ -416,9 +416,8 @@
 
     /// Reserves an amount for a request of a rank, as [`QuotaWindow::try_reserve`] does.
     ///
-    /// What is reserved for more urgent ranks is kept free once half of the limit is used. A request that others of its organisation are less urgent than may
-    /// exceed its node's share, as long as what is unused is enough for all that its rank and the more urgent ones are expected to ask for
-    /// until the nodes have reported again.
+    /// What is reserved for more urgent ranks is kept free once half of the limit is used. A request may exceed its node's share as long as what is
+    /// unused is enough for all that its rank and the more urgent ones are expected to ask for until the nodes have reported again.
     ///
     /// # Errors
     ///
@@ -461,18 +460,17 @@
         let fits_share = period.taken + amount <= free_share;
         let fits_first =
             period.taken == 0 && amount <= self.first_amount_limit(free, slack, self.ask_ratio);
-        let fits_urgent = is_near_limit
-            && terms.expected.is_some_and(|expected| {
-                let due = expected.saturating_mul(self.share_period().as_millis() as u64)
-                    / self.width.as_millis().max(1) as u64;
-                let most = due / URGENT_SHARE_DIVISOR;
-                due <= free + slack / 2
-                    && (period.taken_urgent == 0 || period.taken_urgent + amount <= most)
-            });
-        let fits = used + amount + reserved <= limit && (fits_share || fits_first || fits_urgent);
+        let live_nodes = self.node_count() - use_of_all.absent;
+        let due = self.due_until_reports(&terms, live_nodes).filter(|_| is_near_limit);
+        let fits_expected = due.is_some_and(|due| {
+            let most = due / BEYOND_SHARE_DIVISOR;
+            let is_within = period.taken_beyond == 0 || period.taken_beyond + amount <= most;
+            due <= free + slack / 2 && is_within
+        });
+        let fits = used + amount + reserved <= limit && (fits_share || fits_first || fits_expected);
         if fits {
             period.taken += amount;
-            period.taken_urgent += if fits_share || fits_first { 0 } else { amount };
+            period.taken_beyond += if fits_share || fits_first { 0 } else { amount };
             self.reserved += amount;
         }
         self.period = Some(period);
@@ -516,7 +514,7 @@
         let slack_share = slack as f64 / nodes / 2.0;
         let share = (of_all.min(of_live) + slack_share) as u64;
         let unused = limit.saturating_sub(use_of_all.total());
-        SharePeriod { started: now, limit, unused, fraction, share, taken: 0, taken_urgent: 0 }
+        SharePeriod { started: now, limit, unused, fraction, share, taken: 0, taken_beyond: 0 }
     }
 
     /// Returns the largest amount that this node may send as the first of a period although it exceeds the node's share.
@@ -529,6 +527,13 @@
         ((unused + slack / 2) as f64 / asking_nodes / self.draw()) as u64
     }
 
+    /// Returns the amount that live nodes expect to be asked for until they have reported again; `None` if too few of them say what they expect.
+    fn due_until_reports(&self, terms: &RankTerms, live_nodes: usize) -> Option<u64> {
+        let expected = terms.expected.filter(|_| terms.reporting_nodes * 2 >= live_nodes)? as f64;
+        let of_all = expected * (live_nodes as f64 / terms.reporting_nodes as f64).max(1.0);
+        Some((of_all * self.share_period().as_secs_f64() / self.width.as_secs_f64()) as u64)
+    }
+
     /// Returns a number between 0 and 1 that differs between nodes and periods.
     fn draw(&self) -> f64 {
         let hash = stable_hash(&[&self.draw_seed.to_le_bytes(), &self.period_number.to_le_bytes()]);
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -137,8 +137,9 @@
         }
         if reserved.is_ok() {
             reserve.record_got(now, rank, amount);
-        } else {
-            let kind = if terms.expected.is_some() { "urgent" } else { "other" };
+        }
+        if let Err(refusal) = &reserved {
+            let kind = if refusal.reserved > 0 { "reserved" } else { "limit" };
             self.metrics.quota_refusals.with_label_values(&[kind]).inc();
         }
         if let Err(refusal) = &reserved
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -95,7 +95,7 @@
             quota_refusals: counters(
                 &registry,
                 "quota_refusals_total",
-                "Requests that did not get their part of a quota at once, by whether others of their organisation are less urgent",
+                "Requests that did not get their part of a quota at once, by whether a part was kept for more urgent ones",
                 &["kind"],
             )?,
             quarantined_keys: gauge(
