Bound the memory and the sockets that a node holds for others

Cause: whole bodies, their copies for each attempt, answers and connections were kept without a sum over all callers, and the memory and the descriptors that the settings state were not read.

The budget (crates/agatecourse-gateway/src/budget) counts bytes by capacity and sockets, and gives them back on drop. When one is short, the transfer that has not advanced for the longest time or the connection without a request that has waited longest is given up; else the newcomer gets 503 with Retry-After, before anything was queued. Bodies are kept in segments and sent from there. Route and key of a body above 64 KiB are checked before the rest is read. The rest of a rejected request is discarded for up to a second, so that the answer isn't lost by a reset. Buffers of callers' sockets have 64 KiB, and idle connections no buffer.

--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -1,8 +1,10 @@
 use super::{
     BodyReader, HeadError, RequestHead, parse_request_head, read_some, set_socket_options,
+    write_to_caller,
 };
+use crate::budget::{BudgetFull, ByteUse, CallerSlot, Eviction, HeldBytes, RequestBody};
 use crate::process::Gateway;
-use crate::request::{CallerRequest, Reply, error_response, process_request};
+use crate::request::{CallerRequest, Reply, check_head, error_response, process_request};
 use crate::version::CallerLimits;
 use agatecourse_types::ResultCode;
 use bytes::BytesMut;
@@ -23,8 +25,19 @@
 const DRAINED_IDLE_TIME: Duration = Duration::from_millis(300);
 /// Longest wait for the next bytes of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest time to write a response to a caller that does not read.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time to write a response to a caller that reads slowly.
+const WRITE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Time for which the rest of a rejected request is read and discarded, so that closing the connection does not reset it before the caller
+/// has read the response.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// `Retry-After` of a request that the memory has no room for; bodies that have stalled are given up after a second.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
+/// Bytes that a request needs besides its head and its body: its task, and the buffers of its connection to a target.
+const REQUEST_BYTES: usize = 16 * 1024;
+/// Size of a parsed head in multiples of its bytes; each line is kept in allocations of its own.
+const PARSED_HEAD_FACTOR: usize = 3;
+/// Size from which on route and key are checked before the rest of the body is read.
+const EARLY_CHECK_BYTES: usize = 64 * 1024;
 
 /// A caller's connection with the bytes that were read but not parsed yet.
 struct CallerConnection {
@@ -32,6 +45,11 @@
     read: OwnedReadHalf,
     write: OwnedWriteHalf,
     buffer: BytesMut,
+    slot: Rc<CallerSlot>,
+    /// Bytes that are held for `buffer`.
+    buffer_held: HeldBytes,
+    /// True once the connection had a request with a known route and a valid key.
+    is_known: bool,
 }
 
 impl Drop for CallerConnection {
@@ -67,13 +85,16 @@
 }
 
 /// Serves the requests of a connection in sequence until it closes.
-pub(crate) async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream) {
+pub(crate) async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, slot: Rc<CallerSlot>) {
     if let Err(error) = set_socket_options(&stream) {
         warn!(gateway.log, "setting the options of a caller's socket failed"; "error" => error.to_string());
     }
     let (read, write) = stream.into_split();
     gateway.count_caller_connections(1);
-    let mut connection = CallerConnection { gateway, read, write, buffer: BytesMut::new() };
+    let buffer_held = slot.hold();
+    let buffer = BytesMut::new();
+    let mut connection =
+        CallerConnection { gateway, read, write, buffer, slot, buffer_held, is_known: false };
     while connection.serve_next_request().await {}
 }
 
@@ -86,19 +107,22 @@
             HeadReadResult::Head(head, arrived) => (*head, arrived),
             HeadReadResult::Closed => return false,
             HeadReadResult::Rejected(status, code, reason) => {
-                self.reject(status, code, &reason).await;
+                let retry_after = (status == 503).then_some(MEMORY_RETRY);
+                self.reject(status, code, retry_after, &reason).await;
                 return false;
             }
         };
-        let body = match self.read_body(&head, &limits).await {
+        let request_bytes = self.slot.hold();
+        let body = match self.read_body(&head, &limits, &request_bytes).await {
             Ok(body) => body,
-            Err(Some((code, reason))) => {
-                self.reject(code.http_status(), code, &reason).await;
+            Err(Some(Reply::Error { code, retry_after, reason })) => {
+                self.reject(code.http_status(), code, retry_after, &reason).await;
                 return false;
             }
-            Err(None) => return false,
+            Err(_) => return false,
         };
-        let request = CallerRequest { head, body, arrived };
+        self.slot.begin_work();
+        let request = CallerRequest { head, body, held: request_bytes, arrived };
         let _open_request = OpenRequest::new(&self.gateway);
         self.process_and_respond(&request).await
     }
@@ -108,7 +132,8 @@
         let gateway = Rc::clone(&self.gateway);
         let closes = request.head.closes || gateway.stopping_since().is_some();
         let reply = {
-            let disconnected = wait_for_disconnect(&mut self.read, &mut self.buffer);
+            let disconnected =
+                wait_for_disconnect(&mut self.read, &mut self.buffer, &self.buffer_held);
             let processed = process_request(&gateway, request, &mut self.write, closes);
             tokio::select! {
                 biased;
@@ -121,6 +146,11 @@
             }
         };
         let closes = closes || gateway.stopping_since().is_some();
+        let is_unknown = matches!(
+            reply,
+            Reply::Error { code: ResultCode::Unauthorized | ResultCode::UnknownRoute, .. }
+        );
+        self.is_known |= !is_unknown;
         match reply {
             Reply::Complete { bytes, .. } => self.write_bytes(&bytes).await && !closes,
             Reply::StreamEnded => !closes,
@@ -137,14 +167,23 @@
 
     /// Writes bytes to the caller; returns false when that fails or exceeds [`WRITE_TIMEOUT`].
     async fn write_bytes(&mut self, bytes: &[u8]) -> bool {
-        matches!(tokio::time::timeout(WRITE_TIMEOUT, self.write.write_all(bytes)).await, Ok(Ok(())))
+        let write = write_to_caller(&mut self.write, bytes, &self.slot);
+        matches!(tokio::time::timeout(WRITE_TIMEOUT, write).await, Ok(Ok(())))
     }
 
     /// Writes an error response to a request that was not read completely, and closes the connection.
-    async fn reject(&mut self, status: u16, code: ResultCode, reason: &str) {
+    async fn reject(
+        &mut self,
+        status: u16,
+        code: ResultCode,
+        retry_after: Option<Duration>,
+        reason: &str,
+    ) {
+        let code_text = code.number().to_string();
+        self.gateway.metrics.requests.with_label_values(&["", code_text.as_str()]).inc();
         warn!(self.gateway.log, "request rejected before it was read completely"; "status" => status,
             "code" => code.number(), "reason" => reason);
-        let mut bytes = error_response(code, None, reason, None, true);
+        let mut bytes = error_response(code, retry_after, reason, None, true);
         if status == 431 {
             bytes = b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
                 .to_vec();
@@ -152,11 +191,42 @@
         // Errors are ignored because the connection closes in any case.
         let _ = self.write_bytes(&bytes).await;
         let _ = self.write.shutdown().await;
+        // A caller that was given up so that others can use its socket is closed at once.
+        if self.slot.eviction() != Some(Eviction::Socket) {
+            let _ = tokio::time::timeout(LINGER_TIME, self.discard_rest()).await;
+        }
+    }
+
+    /// Reads and discards what the caller still sends, until it closes the connection or its socket is needed for others.
+    async fn discard_rest(&mut self) {
+        self.slot.wait_for_request(Instant::now(), false);
+        loop {
+            self.buffer.clear();
+            let can_be_given_up = self.slot.eviction().is_none();
+            let read = tokio::select! {
+                biased;
+                _ = self.slot.evicted(), if can_be_given_up => return,
+                read = read_some(&mut self.read, &mut self.buffer) => read,
+            };
+            if matches!(read, Ok(0) | Err(_)) {
+                return;
+            }
+        }
+    }
+
+    /// Accounts for the buffer of the connection, which is released while it is empty.
+    fn hold_buffer(&mut self) -> Result<(), BudgetFull> {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+        let byte_use = ByteUse::Request { total_bytes: self.buffer.len() };
+        self.buffer_held.resize(self.buffer.capacity(), byte_use)
     }
 
     /// Reads the head of the next request within the limits on size, idle time and header time.
     async fn read_head(&mut self, limits: &CallerLimits) -> HeadReadResult {
         let idle_since = Instant::now();
+        self.slot.wait_for_request(idle_since, self.is_known);
         let mut first_byte = if self.buffer.is_empty() { None } else { Some(idle_since) };
         loop {
             match parse_request_head(&self.buffer) {
@@ -164,7 +234,11 @@
                     let _head_bytes = self.buffer.split_to(length);
                     return HeadReadResult::Head(Box::new(head), first_byte.unwrap_or(idle_since));
                 }
-                Ok(None) if self.buffer.len() <= limits.header_bytes => {}
+                Ok(None) if self.buffer.len() <= limits.header_bytes => {
+                    if let Err(error) = self.hold_buffer() {
+                        return HeadReadResult::Rejected(503, ResultCode::Shed, error.to_string());
+                    }
+                }
                 Ok(_) => {
                     return HeadReadResult::Rejected(
                         431,
@@ -189,8 +263,13 @@
                     "head came too slowly".to_string(),
                 );
             }
-            let read = read_some(&mut self.read, &mut self.buffer);
-            match tokio::time::timeout(IDLE_CHECK_INTERVAL, read).await {
+            let read = read_when_ready(&mut self.read, &mut self.buffer);
+            let read = tokio::select! {
+                biased;
+                _ = self.slot.evicted() => return HeadReadResult::Closed,
+                read = tokio::time::timeout(IDLE_CHECK_INTERVAL, read) => read,
+            };
+            match read {
                 Ok(Ok(0) | Err(_)) => return HeadReadResult::Closed,
                 Ok(Ok(_)) => {
                     first_byte.get_or_insert_with(Instant::now);
@@ -212,21 +291,34 @@
             || idle > limits.idle_timeout
     }
 
-    /// Buffers the complete request body, so that a retry can send it again.
+    /// Buffers the complete request body, so that a retry can send it again. Returns the refusal of a request that is not read completely, or
+    /// `None` if the connection ended.
     async fn read_body(
         &mut self,
         head: &RequestHead,
         limits: &CallerLimits,
-    ) -> Result<Vec<u8>, Option<(ResultCode, String)>> {
-        let (mut reader, mut body) = (BodyReader::new(head.framing), Vec::new());
+        request_bytes: &HeldBytes,
+    ) -> Result<RequestBody, Option<Reply>> {
+        let (mut reader, mut body) = (BodyReader::new(head.framing), RequestBody::new());
         let too_large = || {
-            Some((ResultCode::BodyTooLarge, format!("body exceeds {} bytes", limits.body_bytes)))
+            let reason = format!("body exceeds {} bytes", limits.body_bytes);
+            Some(Reply::error(ResultCode::BodyTooLarge, reason))
         };
-        if let super::BodyFraming::Length(length) = head.framing
-            && length > limits.body_bytes as u64
-        {
-            return Err(too_large());
+        let mut is_checked = false;
+        if let super::BodyFraming::Length(length) = head.framing {
+            if length > limits.body_bytes as u64 {
+                return Err(too_large());
+            }
+            if length > EARLY_CHECK_BYTES as u64 {
+                check_head(&self.gateway, head).map_err(Some)?;
+                is_checked = true;
+            }
         }
+        let fixed_bytes = REQUEST_BYTES + PARSED_HEAD_FACTOR * head.length;
+        let byte_use = |total_bytes| ByteUse::Request { total_bytes };
+        request_bytes
+            .resize(fixed_bytes, byte_use(0))
+            .map_err(|error| Some(memory_refusal(error)))?;
         let expects_continue = head
             .headers
             .get("expect")
@@ -237,40 +329,74 @@
         {
             return Err(None);
         }
+        let mut piece = Vec::new();
         while !reader.is_done() {
-            let read = reader.read(&mut self.read, &mut self.buffer, &mut body);
-            match tokio::time::timeout(BODY_TIMEOUT, read).await {
-                Ok(Ok(())) if body.len() > limits.body_bytes => return Err(too_large()),
+            self.slot.advance_body(Instant::now());
+            let read = reader.read(&mut self.read, &mut self.buffer, &mut piece);
+            let read = tokio::select! {
+                biased;
+                eviction = self.slot.evicted() => {
+                    return Err((eviction == Eviction::Memory).then(|| memory_refusal(BudgetFull)));
+                }
+                read = tokio::time::timeout(BODY_TIMEOUT, read) => read,
+            };
+            match read {
+                Ok(Ok(())) if body.len() + piece.len() > limits.body_bytes => {
+                    return Err(too_large());
+                }
                 Ok(Ok(())) => {}
                 Ok(Err(super::BodyError::BadChunk)) => {
-                    return Err(Some((
-                        ResultCode::Malformed,
-                        "body's chunks can't be parsed".to_string(),
-                    )));
+                    let reason = "body's chunks can't be parsed";
+                    return Err(Some(Reply::error(ResultCode::Malformed, reason)));
                 }
                 Ok(Err(_)) => return Err(None),
                 Err(_) => {
-                    return Err(Some((
-                        ResultCode::BodyTimeout,
-                        "body came too slowly".to_string(),
-                    )));
+                    let reason = "body came too slowly";
+                    return Err(Some(Reply::error(ResultCode::BodyTimeout, reason)));
                 }
             }
+            body.append(&mut piece);
+            let total_bytes = fixed_bytes + body.capacity() + piece.capacity();
+            request_bytes
+                .resize(total_bytes, byte_use(body.len()))
+                .map_err(|error| Some(memory_refusal(error)))?;
+            if !is_checked && body.len() > EARLY_CHECK_BYTES {
+                check_head(&self.gateway, head).map_err(Some)?;
+                is_checked = true;
+            }
         }
         Ok(body)
     }
 }
 
+/// Returns the refusal of a request that the memory has no room for.
+fn memory_refusal(error: BudgetFull) -> Reply {
+    Reply::refusal(ResultCode::Shed, MEMORY_RETRY, error.to_string())
+}
+
+/// Reads available bytes like [`read_some`]; the buffer takes memory only once there are any.
+async fn read_when_ready(
+    read: &mut OwnedReadHalf,
+    buffer: &mut BytesMut,
+) -> std::io::Result<usize> {
+    read.readable().await?;
+    read_some(read, buffer).await
+}
+
 /// Completes when the caller closes or resets its connection; buffers pipelined requests meanwhile.
-async fn wait_for_disconnect(read: &mut OwnedReadHalf, buffer: &mut BytesMut) {
+async fn wait_for_disconnect(read: &mut OwnedReadHalf, buffer: &mut BytesMut, held: &HeldBytes) {
     loop {
         if buffer.len() > MAX_PIPELINED_BYTES {
             // A full buffer is not read further, so a disconnect is no longer noticed.
             std::future::pending::<()>().await;
         }
-        match read_some(read, buffer).await {
+        match read_when_ready(read, buffer).await {
             Ok(0) | Err(_) => return,
             Ok(_) => {}
         }
+        let byte_use = ByteUse::Request { total_bytes: buffer.len() };
+        if held.resize(buffer.capacity(), byte_use).is_err() {
+            return;
+        }
     }
 }
--- a/crates/agatecourse-gateway/src/connection/head.rs
+++ b/crates/agatecourse-gateway/src/connection/head.rs
@@ -130,6 +130,8 @@
     pub closes: bool,
     /// Framing of the body.
     pub(crate) framing: BodyFraming,
+    /// Bytes of the head as it was received.
+    pub(crate) length: usize,
 }
 
 /// Parsed head of a response.
@@ -179,6 +181,7 @@
         headers,
         closes,
         framing,
+        length,
     };
     Ok(Some((head, length)))
 }
--- a/crates/agatecourse-gateway/src/connection/mod.rs
+++ b/crates/agatecourse-gateway/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod caller;
+mod caller_writer;
 mod head;
 mod header_names;
 mod simple_client;
@@ -10,6 +11,7 @@
 
 pub(crate) use body::{BodyFraming, BodyReader, read_some};
 pub(crate) use caller::serve_caller;
+pub(crate) use caller_writer::write_to_caller;
 pub(crate) use head::MAX_RESPONSE_HEAD_BYTES;
 pub use head::{
     HeadError, Headers, RequestHead, ResponseHead, parse_request_head, parse_response_head,
--- a/crates/agatecourse-gateway/src/connection/target_connection.rs
+++ b/crates/agatecourse-gateway/src/connection/target_connection.rs
@@ -1,6 +1,7 @@
 use super::{
     BodyReader, HeadError, MAX_RESPONSE_HEAD_BYTES, ResponseHead, parse_response_head, read_some,
 };
+use crate::budget::SocketPermit;
 use bytes::BytesMut;
 use snafu::Snafu;
 use std::net::SocketAddr;
@@ -59,11 +60,15 @@
     pub(crate) buffer: BytesMut,
     pub(crate) idle_since: Instant,
     pub(crate) idle_limit: Duration,
+    _permit: SocketPermit,
 }
 
 impl TargetConnection {
     /// Connects within [`CONNECT_TIMEOUT`] and sets the socket options.
-    pub(crate) async fn connect(address: SocketAddr) -> Result<Self, ConnectError> {
+    pub(crate) async fn connect(
+        address: SocketAddr,
+        permit: SocketPermit,
+    ) -> Result<Self, ConnectError> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| ConnectError::Timeout)?
@@ -74,6 +79,7 @@
             buffer: BytesMut::new(),
             idle_since: Instant::now(),
             idle_limit: Duration::ZERO,
+            _permit: permit,
         })
     }
 
--- a/crates/agatecourse-gateway/src/connection/target_pool.rs
+++ b/crates/agatecourse-gateway/src/connection/target_pool.rs
@@ -1,5 +1,6 @@
 use super::TargetConnection;
 use agatecourse_types::TargetId;
+use bytes::BytesMut;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -39,6 +40,10 @@
         now: Instant,
     ) {
         connection.idle_since = now;
+        if connection.buffer.is_empty() {
+            // An idle connection keeps no buffer.
+            connection.buffer = BytesMut::new();
+        }
         connection.idle_limit =
             stated_idle.unwrap_or(DEFAULT_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_RATIO);
         let idle = self.idle.entry(target.clone()).or_default();
@@ -57,6 +62,11 @@
         });
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn close_idle(&mut self) {
+        self.idle.clear();
+    }
+
     /// Closes the idle connections to a target after one of its connections failed.
     pub(crate) fn remove_target(&mut self, target: &TargetId) {
         self.idle.remove(target);
--- a/crates/agatecourse-gateway/src/lib.rs
+++ b/crates/agatecourse-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`agatecourse_core::request::dispatch::Dispatcher`], sent to one target, and answered. The crate knows no deployment:
 //! header names, discovery and configuration come from an adapter through [`HeaderNames`], [`Deployment`] and [`Target`].
 
+pub mod budget;
 pub mod connection;
 pub mod process;
 pub mod request;
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -5,13 +5,14 @@
     Coordinator, CoordinatorAction, Document, DocumentId, Documents, Members, Metrics,
     NodeCapacity, PeerEndpoint, Placement, Rollouts, TimerService,
 };
+use crate::budget::{BudgetLimits, ResourceBudget, SocketPermit};
 use crate::connection::{HeaderNames, TargetPool};
 use crate::version::{Deployment, ServiceId, Target};
 use agatecourse_core::process::RetryBudget;
 use agatecourse_core::request::dispatch::{DispatchTarget, JobNumber, RunReport};
 use agatecourse_core::request::{CrashLedger, SuspectKey};
 use agatecourse_types::{NodeId, RouteId, TargetId, ZoneId, rendezvous_owner};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use snafu::Snafu;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -55,6 +56,10 @@
     pub is_first_start: bool,
     /// Class of the VM's processor and link; nodes of the highest class own the queues.
     pub capacity: NodeCapacity,
+    /// Memory of the process in MiB.
+    pub memory_mb: usize,
+    /// Number of descriptors that the process may have open.
+    pub max_descriptors: usize,
     /// Start of the process in Unix milliseconds; distinguishes successive processes with the same node name.
     pub started_unix_ms: u64,
 }
@@ -100,6 +105,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) timers: TimerService,
     pub(crate) pool: RefCell<TargetPool>,
+    pub(crate) budget: Rc<ResourceBudget>,
     pub(crate) members: RefCell<Members>,
     pub(crate) documents: RefCell<Documents>,
     pub(crate) peers: PeerEndpoint,
@@ -154,6 +160,8 @@
         log: Logger,
     ) -> Result<Rc<Self>, GatewayError> {
         let metrics = Metrics::new().map_err(|source| GatewayError::Metrics { source })?;
+        let limits = BudgetLimits::new(settings.memory_mb, settings.max_descriptors);
+        let budget = ResourceBudget::new(limits, metrics.budget_refusals.clone());
         let peers = PeerEndpoint::bind(settings.ip, settings.peer_port)?;
         let now = Instant::now();
         let mut members = Members::new();
@@ -175,6 +183,7 @@
             peer_documents: PeerDocuments::default(),
             timers: TimerService::new(),
             pool: RefCell::default(),
+            budget,
             members: RefCell::new(members),
             documents: RefCell::default(),
             deployment: RefCell::default(),
@@ -218,6 +227,35 @@
         &self.timers
     }
 
+    /// Makes room for a socket to a target, if need be by closing idle ones; `None` if all sockets are in use.
+    pub(crate) fn open_target_socket(&self) -> Option<SocketPermit> {
+        if self.budget.is_out_of_sockets() {
+            self.pool.borrow_mut().close_idle();
+        }
+        self.budget.open_target_socket()
+    }
+
+    /// Logs how much was refused or given up since the last call for lack of memory or sockets, if anything was.
+    pub(crate) fn log_refusals(&self) {
+        let refused = self.budget.take_refusal_count();
+        if refused > 0 {
+            let (callers, targets) = self.budget.sockets();
+            warn!(self.log, "memory or sockets were short"; "refused_or_given_up" => refused,
+                "held_bytes" => self.budget.held_bytes(), "high_water_bytes" => self.budget.high_water_bytes(),
+                "caller_sockets" => callers, "target_sockets" => targets);
+        }
+    }
+
+    /// Sets the metrics of the budget.
+    pub(crate) fn update_budget_metrics(&self) {
+        let (callers, targets) = self.budget.sockets();
+        self.metrics.held_bytes.set(gauge_value(self.budget.held_bytes()));
+        self.metrics.held_bytes_limit.set(gauge_value(self.budget.limits().held_bytes));
+        self.metrics.held_bytes_high_water.set(gauge_value(self.budget.high_water_bytes()));
+        self.metrics.caller_sockets.set(gauge_value(callers));
+        self.metrics.target_sockets.set(gauge_value(targets));
+    }
+
     /// Increments the metric for calls to the platform, by call and result.
     pub fn count_source_call(&self, call: &str, result: &str) {
         self.metrics.source_calls.with_label_values(&[call, result]).inc();
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -26,6 +26,12 @@
     pub(crate) peer_messages: IntCounterVec,
     pub(crate) owner_changes: IntCounter,
     pub(crate) quarantined_keys: IntGauge,
+    pub(crate) held_bytes: IntGauge,
+    pub(crate) held_bytes_limit: IntGauge,
+    pub(crate) held_bytes_high_water: IntGauge,
+    pub(crate) caller_sockets: IntGauge,
+    pub(crate) target_sockets: IntGauge,
+    pub(crate) budget_refusals: IntCounterVec,
 }
 
 impl Metrics {
@@ -90,6 +96,25 @@
                 "quarantined_keys",
                 "Prompt parts and requests that are refused because they crash targets",
             )?,
+            held_bytes: gauge(&registry, "held_bytes", "Bytes held for callers and targets")?,
+            held_bytes_limit: gauge(
+                &registry,
+                "held_bytes_limit",
+                "Most bytes that may be held for callers and targets",
+            )?,
+            held_bytes_high_water: gauge(
+                &registry,
+                "held_bytes_high_water",
+                "Most bytes held for callers and targets at a time",
+            )?,
+            caller_sockets: gauge(&registry, "caller_sockets", "Connections of callers")?,
+            target_sockets: gauge(&registry, "target_sockets", "Connections to targets")?,
+            budget_refusals: counters(
+                &registry,
+                "budget_refusals_total",
+                "What was refused or given up for lack of memory or sockets",
+                &["reason"],
+            )?,
             registry,
         })
     }
--- a/crates/agatecourse-gateway/src/process/run.rs
+++ b/crates/agatecourse-gateway/src/process/run.rs
@@ -25,6 +25,10 @@
 const PRUNE_PERIOD: Duration = Duration::from_millis(500);
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
+/// Bytes of a caller that each direction of its socket buffers; a link of 1 ms carries 400 Mbit/s with it.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
+/// Shortest time between two log lines about what was refused for lack of memory or sockets.
+const REFUSAL_LOG_PERIOD: Duration = Duration::from_secs(10);
 /// Maximum size of a request head on an internal address, in bytes.
 const MAX_INTERNAL_HEAD_BYTES: usize = 8 * 1024;
 
@@ -53,6 +57,7 @@
     let started = Instant::now();
     let settings = gateway.settings.clone();
     let callers = listen(settings.caller_address)?;
+    bound_socket_buffers(&callers);
     let ready = listen(settings.ready_address)?;
     let operators = listen(settings.operator_address)?;
     let documents = listen(SocketAddr::new(settings.ip.into(), settings.peer_port))?;
@@ -145,6 +150,14 @@
     bound.map_err(|source| GatewayError::Listen { address, source })
 }
 
+/// Bounds the buffers of callers' sockets, which connections inherit. They count toward the memory of the VM.
+fn bound_socket_buffers(listener: &TcpListener) {
+    let socket = socket2::SockRef::from(listener);
+    // A socket whose buffers can't be bounded serves callers as well.
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
+    let _ = socket.set_send_buffer_size(SOCKET_BUFFER_BYTES);
+}
+
 fn accept_callers(gateway: &Rc<Gateway>, listener: TcpListener) {
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
@@ -157,7 +170,13 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    actix_rt::spawn(serve_caller(Rc::clone(&gateway), stream));
+                    if let Some(slot) = gateway.budget.accept_caller(Instant::now()) {
+                        actix_rt::spawn(serve_caller(Rc::clone(&gateway), stream, slot));
+                    }
+                    if gateway.budget.is_out_of_caller_sockets() {
+                        // Lets the tasks of connections that were given up close their sockets.
+                        tokio::task::yield_now().await;
+                    }
                 }
                 Err(error) => {
                     warn!(gateway.log, "accepting a connection failed"; "error" => error.to_string());
@@ -169,9 +188,16 @@
 }
 
 fn subscribe_pruning(gateway: &Rc<Gateway>) {
+    let weak = Rc::downgrade(gateway);
+    gateway.timers.subscribe(REFUSAL_LOG_PERIOD, move |_now| {
+        if let Some(gateway) = weak.upgrade() {
+            gateway.log_refusals();
+        }
+    });
     let weak = Rc::downgrade(gateway);
     gateway.timers.subscribe(PRUNE_PERIOD, move |now| {
         if let Some(gateway) = weak.upgrade() {
+            gateway.update_budget_metrics();
             gateway.metrics.ready.set(i64::from(gateway.is_ready()));
             gateway.pool.borrow_mut().prune(now, |target| gateway.target(target).is_some());
         }
@@ -249,6 +275,7 @@
 fn operator_response(gateway: &Gateway, head: &RequestHead) -> InternalResponse {
     match head.path.split('?').next().unwrap_or_default() {
         "/metrics" => {
+            gateway.update_budget_metrics();
             InternalResponse::new(200, "text/plain; version=0.0.4", gateway.metrics.render())
         }
         "/dump" => InternalResponse::new(
--- a/crates/agatecourse-gateway/src/request/admission.rs
+++ b/crates/agatecourse-gateway/src/request/admission.rs
@@ -2,6 +2,7 @@
 use super::suspect_keys::suspect_keys;
 use super::workload::Workload;
 use super::{CallerRequest, Reply};
+use crate::connection::RequestHead;
 use crate::process::Gateway;
 use crate::version::{Deployment, Route, ServiceId};
 use agatecourse_core::request::{CrashVerdict, SuspectKeys};
@@ -58,22 +59,14 @@
     now: Instant,
     request: &CallerRequest,
 ) -> Result<AdmittedRequest, AdmissionError> {
-    let Some(deployment) = gateway.deployment() else {
-        let reason = "no configuration is known yet";
-        return Err(Reply::refusal(ResultCode::NotReady, NOT_READY_RETRY, reason).into());
-    };
-    let host = request.head.headers.get("host").unwrap_or_default();
-    let Some(route) = deployment.route(host, &request.head.path).cloned() else {
-        let reason = format!("configuration {}", deployment.version);
-        return Err(Reply::error(ResultCode::UnknownRoute, reason).into());
-    };
+    let (deployment, route) = find_route(gateway, &request.head)?;
     let suspect_keys = suspect_keys(request, &gateway.header_names);
     let verdict = gateway.crash_verdict(now, &suspect_keys);
     if let Some((retry_after, reason)) = quarantine_reason(&verdict) {
         return Err(Reply::refusal(ResultCode::Quarantined, retry_after, reason).into());
     }
     let workload = Workload::from_request(request, &gateway.header_names);
-    let organisation = find_organisation(gateway, &deployment, &route, request)?;
+    let organisation = find_organisation(gateway, &deployment, &route, &request.head)?;
     let service = choose_service(&route, request, &gateway.header_names.request_id);
     let mut admitted = AdmittedRequest {
         service,
@@ -120,6 +113,26 @@
     Ok(admitted)
 }
 
+/// Checks route and API key of a request whose body was not read yet; returns the refusal when one of them fails.
+pub(crate) fn check_head(gateway: &Gateway, head: &RequestHead) -> Result<(), Reply> {
+    let (deployment, route) = find_route(gateway, head)?;
+    find_organisation(gateway, &deployment, &route, head).map(|_organisation| ())
+}
+
+/// Returns the configuration and the route of a request, or the refusal when there is none.
+fn find_route(gateway: &Gateway, head: &RequestHead) -> Result<(Rc<Deployment>, Route), Reply> {
+    let Some(deployment) = gateway.deployment() else {
+        let reason = "no configuration is known yet";
+        return Err(Reply::refusal(ResultCode::NotReady, NOT_READY_RETRY, reason));
+    };
+    let host = head.headers.get("host").unwrap_or_default();
+    let Some(route) = deployment.route(host, &head.path).cloned() else {
+        let reason = format!("configuration {}", deployment.version);
+        return Err(Reply::error(ResultCode::UnknownRoute, reason));
+    };
+    Ok((deployment, route))
+}
+
 /// Returns the `Retry-After` and the reason of the refusal of a quarantined request; `None` for another one.
 pub(crate) fn quarantine_reason(verdict: &CrashVerdict) -> Option<(Duration, String)> {
     let CrashVerdict::Quarantined { key, crashes, retry_after } = verdict else { return None };
@@ -131,13 +144,13 @@
     gateway: &Gateway,
     deployment: &Rc<Deployment>,
     route: &Route,
-    request: &CallerRequest,
+    head: &RequestHead,
 ) -> Result<Option<OrganisationId>, Reply> {
     if deployment.organisations.is_empty() {
         return Ok(None);
     }
-    let known_organisation =
-        request.api_key(&gateway.header_names).and_then(|key| deployment.organisation_of_key(key));
+    let known_organisation = CallerRequest::api_key(head, &gateway.header_names)
+        .and_then(|key| deployment.organisation_of_key(key));
     match known_organisation {
         Some(organisation) => Ok(Some(organisation.name.clone())),
         None if route.is_public => Ok(None),
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -1,5 +1,6 @@
 use super::CallerRequest;
 use super::crash_check::has_ended;
+use crate::budget::ByteUse;
 use crate::connection::{
     BodyFraming, BodyReader, HeaderNames, ResponseError, ResponseHead, TargetConnection,
 };
@@ -46,9 +47,9 @@
         has_id.then(|| gateway.pool.borrow_mut().take(&target.id, Instant::now())).flatten();
     let mut connection = match pooled {
         Some(connection) => connection,
-        None => match TargetConnection::connect(target.address).await {
+        None => match open_connection(gateway, target).await {
             Ok(connection) => connection,
-            Err(error) => return AttemptEnd::NotSent { reason: error.to_string() },
+            Err(reason) => return AttemptEnd::NotSent { reason },
         },
     };
     // The target may have closed to this node since the grant, while a connection was opened.
@@ -87,7 +88,7 @@
     let is_success = (200..300).contains(&head.status);
     if head.headers.get(&gateway.header_names.not_run).is_some() && !is_success {
         let status = head.status;
-        if let Ok(_body) = read_complete_body(gateway, target, connection, &head).await {}
+        if let Ok(_body) = read_complete_body(gateway, request, target, connection, &head).await {}
         return AttemptEnd::NotRun { status };
     }
     if is_success && !has_proof {
@@ -103,12 +104,20 @@
     if is_success && wants_stream {
         return AttemptEnd::Stream { head, connection };
     }
-    match read_complete_body(gateway, target, connection, &head).await {
+    match read_complete_body(gateway, request, target, connection, &head).await {
         Ok(body) => AttemptEnd::Complete { head, body },
         Err(reason) => AttemptEnd::Lost { reason },
     }
 }
 
+/// Opens a connection to a target; returns the reason when that fails.
+async fn open_connection(gateway: &Gateway, target: &Target) -> Result<TargetConnection, String> {
+    let Some(permit) = gateway.open_target_socket() else {
+        return Err("all sockets are in use".to_string());
+    };
+    TargetConnection::connect(target.address, permit).await.map_err(|error| error.to_string())
+}
+
 /// Sends the request and reads the response head, which may arrive before the request is completely sent.
 async fn send_and_read_head(
     connection: &mut TargetConnection,
@@ -118,7 +127,7 @@
     sent: &mut bool,
 ) -> Result<ResponseHead, ResponseError> {
     // A target may respond and close before it has read the body, so the response is read even after a failed write.
-    let written = connection.send(bytes, sent).await;
+    let written = send_request(connection, request, bytes, sent).await;
     let head = connection
         .read_head(&request.head.method, &header_names.request_id, request.id(header_names))
         .await;
@@ -132,14 +141,32 @@
     }
 }
 
+/// Sends the head of a request, with the body if it is small, and then the segments of a larger body.
+async fn send_request(
+    connection: &mut TargetConnection,
+    request: &CallerRequest,
+    bytes: &[u8],
+    sent: &mut bool,
+) -> std::io::Result<()> {
+    connection.send(bytes, sent).await?;
+    if !request.is_body_joined() {
+        for segment in request.body.segments() {
+            connection.send(segment, sent).await?;
+        }
+    }
+    Ok(())
+}
+
 /// Reads a response body to its end and returns the connection to the pool if it can be reused.
 async fn read_complete_body(
     gateway: &Gateway,
+    request: &CallerRequest,
     target: &Target,
     mut connection: TargetConnection,
     head: &ResponseHead,
 ) -> Result<Vec<u8>, String> {
     let (mut reader, mut body) = (BodyReader::new(head.framing), Vec::new());
+    let body_bytes = request.held.slot().hold();
     while !reader.is_done() {
         reader
             .read(&mut connection.stream, &mut connection.buffer, &mut body)
@@ -148,11 +175,15 @@
         if body.len() > MAX_RESPONSE_BYTES {
             return Err(format!("answer exceeds {MAX_RESPONSE_BYTES} bytes"));
         }
+        body_bytes
+            .resize(body.capacity(), ByteUse::Answer { total_bytes: body.len() })
+            .map_err(|error| error.to_string())?;
     }
     if head.framing == BodyFraming::UntilClose && has_ended(gateway, target).await {
         return Err("target ended with the connection".to_string());
     }
     return_to_pool(gateway, target, connection, head);
+    request.held.absorb(&body_bytes);
     Ok(body)
 }
 
--- a/crates/agatecourse-gateway/src/request/crash_check.rs
+++ b/crates/agatecourse-gateway/src/request/crash_check.rs
@@ -17,7 +17,8 @@
     report: CrashReport,
 ) -> bool {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
-    match TargetConnection::connect(target.address).await {
+    let Some(permit) = gateway.open_target_socket() else { return false };
+    match TargetConnection::connect(target.address, permit).await {
         Ok(connection) => {
             gateway.pool.borrow_mut().put(&target.id, connection, None, Instant::now());
             false
@@ -37,7 +38,8 @@
     if gateway.target(&target.id).is_none() {
         return false;
     }
-    match TargetConnection::connect(target.address).await {
+    let Some(permit) = gateway.open_target_socket() else { return false };
+    match TargetConnection::connect(target.address, permit).await {
         Ok(connection) => {
             gateway.pool.borrow_mut().put(&target.id, connection, None, Instant::now());
             false
--- a/crates/agatecourse-gateway/src/request/event_splitter.rs
+++ b/crates/agatecourse-gateway/src/request/event_splitter.rs
@@ -72,6 +72,11 @@
         !self.pending.is_empty()
     }
 
+    /// Returns the number of bytes for which memory is allocated.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Discards an incomplete event after the stream broke inside it.
     pub fn drop_partial_event(&mut self) {
         self.pending.clear();
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -14,6 +14,7 @@
 mod suspect_keys;
 mod workload;
 
+pub(crate) use admission::check_head;
 pub(crate) use answer::{Reply, error_response, serialize_response};
 pub(crate) use attempt::parse_seconds;
 pub(crate) use caller_request::CallerRequest;
--- a/crates/agatecourse-gateway/src/request/outbound.rs
+++ b/crates/agatecourse-gateway/src/request/outbound.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Serializes the request for a target: removes hop-by-hop and reserved headers, and sets deadline, expected target,
-/// organisation and the event id to resume after.
+/// organisation and the event id to resume after. A body that is not joined to the head follows it.
 pub(crate) fn outbound_request(
     request: &CallerRequest,
     admitted: &AdmittedRequest,
@@ -15,7 +15,8 @@
     resume_after: Option<&str>,
 ) -> Vec<u8> {
     let head = &request.head;
-    let mut out = Vec::with_capacity(1_024 + request.body.len());
+    let joined_bytes = if request.is_body_joined() { request.body.len() } else { 0 };
+    let mut out = Vec::with_capacity(1_024 + joined_bytes);
     out.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.path).as_bytes());
     let is_excluded = |name: &str| {
         name.eq_ignore_ascii_case(&header_names.deadline_ms)
@@ -46,6 +47,8 @@
         line("Content-Length", &request.body.len().to_string());
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&request.body);
+    if request.is_body_joined() {
+        request.body.segments().for_each(|segment| out.extend_from_slice(segment));
+    }
     out
 }
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -485,10 +485,12 @@
     ) -> NextStep {
         let gateway = self.gateway;
         let keys = &self.admitted.suspect_keys;
+        let stream_held = self.request.held.slot().hold();
         let options = RelayOptions {
             header_names: &gateway.header_names,
             closes: self.closes,
             stall_limit: self.stall_limit(),
+            held: &stream_held,
         };
         let mut end = self
             .relay
@@ -506,7 +508,7 @@
         if matches!(end, RelayEnd::Complete) {
             end = if head.framing == BodyFraming::UntilClose && has_ended(gateway, target).await {
                 RelayEnd::TargetFailed { reason: "target ended with the connection".to_string() }
-            } else if self.relay.finish(caller).await.is_err() {
+            } else if self.relay.finish(caller, &stream_held).await.is_err() {
                 RelayEnd::CallerDisconnected
             } else {
                 gateway.record_sound(Instant::now(), keys);
@@ -526,6 +528,9 @@
             RelayEnd::CallerDisconnected => NextStep::Reply(Reply::StreamBroken {
                 reason: "writing to the caller failed".to_string(),
             }),
+            RelayEnd::MemoryFull { source } => {
+                NextStep::Reply(Reply::StreamBroken { reason: source.to_string() })
+            }
             RelayEnd::TargetFailed { .. } | RelayEnd::Stalled { .. } => {
                 let reason = end.to_string();
                 drop(connection);
--- a/crates/agatecourse-gateway/src/request/relay.rs
+++ b/crates/agatecourse-gateway/src/request/relay.rs
@@ -1,8 +1,9 @@
 use super::event_splitter::EventSplitter;
+use crate::budget::{BudgetFull, ByteUse, HeldBytes};
+use crate::connection::write_to_caller;
 use crate::connection::{BodyFraming, BodyReader, HeaderNames, ResponseHead, TargetConnection};
 use snafu::Snafu;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
 /// Relays a stream to the caller; keeps its state when another target resumes the stream.
@@ -27,6 +28,8 @@
     pub(crate) closes: bool,
     /// Time without a complete event after which the stream may be given up; `None` if it is never given up.
     pub(crate) stall_limit: Option<Duration>,
+    /// Bytes that are held for what was read and not yet written.
+    pub(crate) held: &'a HeldBytes,
 }
 
 /// How the stream from one target ended.
@@ -44,6 +47,9 @@
     /// Writing to the caller failed.
     #[snafu(display("writing to the caller failed"))]
     CallerDisconnected,
+    /// The memory has no room for what was read.
+    #[snafu(display("{source}"))]
+    MemoryFull { source: BudgetFull },
 }
 
 impl Relay {
@@ -82,7 +88,7 @@
         on_progress: impl Fn(),
         gives_up: impl Fn() -> bool,
     ) -> RelayEnd {
-        let RelayOptions { header_names, closes, mut stall_limit } = options;
+        let RelayOptions { header_names, closes, mut stall_limit, held } = options;
         self.answer_goes_on = false;
         let mut has_events = false;
         let format = (head.status, media_type(head));
@@ -129,6 +135,11 @@
                     return RelayEnd::TargetFailed { reason: error.to_string() };
                 }
             };
+            // The events are copied once more when they are written.
+            let total_bytes = self.splitter.pending_bytes() + bytes.capacity() + 2 * events.len();
+            if let Err(source) = held.resize(total_bytes, ByteUse::Answer { total_bytes }) {
+                return RelayEnd::MemoryFull { source };
+            }
             if events.is_empty() {
                 continue;
             }
@@ -138,7 +149,7 @@
                 on_progress();
             }
             has_events = true;
-            if self.write_events(caller, &events).await.is_err() {
+            if self.write_events(caller, &events, held).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
         }
@@ -154,11 +165,15 @@
     }
 
     /// Tells the caller that the stream is complete.
-    pub(crate) async fn finish(&mut self, caller: &mut OwnedWriteHalf) -> std::io::Result<()> {
+    pub(crate) async fn finish(
+        &mut self,
+        caller: &mut OwnedWriteHalf,
+        held: &HeldBytes,
+    ) -> std::io::Result<()> {
         if !self.has_started() {
-            self.write_events(caller, &[]).await?;
+            self.write_events(caller, &[], held).await?;
         }
-        caller.write_all(b"0\r\n\r\n").await
+        write_to_caller(caller, b"0\r\n\r\n", held.slot()).await
     }
 
     /// Writes complete events as one chunk, after the response head if it has not been sent yet.
@@ -166,6 +181,7 @@
         &mut self,
         caller: &mut OwnedWriteHalf,
         events: &[u8],
+        held: &HeldBytes,
     ) -> std::io::Result<()> {
         let mut out = self.head.take().unwrap_or_default();
         if !events.is_empty() {
@@ -174,7 +190,7 @@
             out.extend_from_slice(b"\r\n");
         }
         self.first_event.get_or_insert_with(Instant::now);
-        caller.write_all(&out).await
+        write_to_caller(caller, &out, held.slot()).await
     }
 }
 
--- a/crates/agatecourse-gateway/src/request/suspect_keys.rs
+++ b/crates/agatecourse-gateway/src/request/suspect_keys.rs
@@ -1,7 +1,7 @@
 use super::CallerRequest;
 use crate::connection::HeaderNames;
 use agatecourse_core::request::SuspectKeys;
-use agatecourse_types::stable_hash;
+use agatecourse_types::{stable_hash, stable_hash_with_segments};
 
 /// Upper bound of the keys of a request, so that a report of its crash fits a datagram.
 const MAX_KEYS: usize = 64;
@@ -12,7 +12,8 @@
     let headers = &request.head.headers;
     let caller = headers.get("authorization").unwrap_or_default();
     let mut keys = SuspectKeys::new();
-    keys.push(stable_hash(&[request.head.path.as_bytes(), caller.as_bytes(), &request.body]));
+    let path = request.head.path.as_bytes();
+    keys.push(stable_hash_with_segments(&[path, caller.as_bytes()], request.body.segments()));
     let parts = headers.get(&header_names.prompt_parts).unwrap_or_default();
     let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
     for part in shared.split(',').filter(|part| !part.trim().is_empty()) {
--- a/crates/agatecourse-gateway/src/request/suspect_keys/tests.rs
+++ b/crates/agatecourse-gateway/src/request/suspect_keys/tests.rs
@@ -1,6 +1,8 @@
 use super::*;
+use crate::budget::{BudgetLimits, RequestBody, ResourceBudget};
 use crate::connection::parse_request_head;
 use googletest::prelude::*;
+use prometheus::{IntCounterVec, Opts};
 use std::time::Instant;
 
 fn header_names() -> HeaderNames {
@@ -25,7 +27,12 @@
 fn keys_of(parts: &str, body: &str) -> SuspectKeys {
     let text = format!("POST /a HTTP/1.1\r\nparts: {parts}\r\n\r\n");
     let (head, _) = parse_request_head(text.as_bytes()).expect("it parses").expect("it is whole");
-    let request = CallerRequest { head, body: body.as_bytes().to_vec(), arrived: Instant::now() };
+    let refusals = IntCounterVec::new(Opts::new("refusals", "Refusals"), &["reason"]);
+    let budget =
+        ResourceBudget::new(BudgetLimits::new(160, 4_100), refusals.expect("the name is valid"));
+    let slot = budget.accept_caller(Instant::now()).expect("the budget has room");
+    let body = RequestBody::from(body.as_bytes().to_vec());
+    let request = CallerRequest { head, body, held: slot.hold(), arrived: Instant::now() };
     suspect_keys(&request, &header_names())
 }
 
--- a/crates/agatecourse-types/src/lib.rs
+++ b/crates/agatecourse-types/src/lib.rs
@@ -18,4 +18,6 @@
 pub use problem::Problem;
 pub use result_code::ResultCode;
 pub use run_state::RunState;
-pub use stable_hash::{rank_by_rendezvous, rendezvous_owner, stable_hash};
+pub use stable_hash::{
+    rank_by_rendezvous, rendezvous_owner, stable_hash, stable_hash_with_segments,
+};
--- a/crates/agatecourse-types/src/stable_hash.rs
+++ b/crates/agatecourse-types/src/stable_hash.rs
@@ -15,6 +15,22 @@
     hasher.finish()
 }
 
+/// Returns the same value as [`stable_hash`] for `parts` and one more part that consists of segments.
+pub fn stable_hash_with_segments<'a>(
+    parts: &[&[u8]],
+    segments: impl Iterator<Item = &'a [u8]> + Clone,
+) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(KEY_0, KEY_1);
+    for part in parts {
+        hasher.write(&(part.len() as u64).to_le_bytes());
+        hasher.write(part);
+    }
+    let length: usize = segments.clone().map(<[u8]>::len).sum();
+    hasher.write(&(length as u64).to_le_bytes());
+    segments.for_each(|segment| hasher.write(segment));
+    hasher.finish()
+}
+
 /// Returns the candidate with the highest rendezvous hash for a key, or `None` without candidates.
 pub fn rendezvous_owner<'a>(
     key: &str,
