--- a/crates/agatecourse-gateway/src/connection/mod.rs
+++ b/crates/agatecourse-gateway/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod caller;
+mod caller_writer;
 mod complete_response;
 mod head;
 mod header_names;
@@ -11,6 +12,7 @@
 
 pub(crate) use body::{BodyFraming, BodyReader, read_some};
 pub(crate) use caller::serve_caller;
+pub(crate) use caller_writer::write_to_caller;
 pub(crate) use complete_response::{CompleteResponse, has_no_body, unparsed_method};
 pub(crate) use head::MAX_RESPONSE_HEAD_BYTES;
 pub use head::{
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -31,6 +31,12 @@
     pub(crate) quarantined_keys: IntGauge,
     pub(crate) evacuated_zones: IntGauge,
     pub(crate) cold_targets: IntGauge,
+    pub(crate) held_bytes: IntGauge,
+    pub(crate) held_bytes_limit: IntGauge,
+    pub(crate) held_bytes_high_water: IntGauge,
+    pub(crate) caller_sockets: IntGauge,
+    pub(crate) target_sockets: IntGauge,
+    pub(crate) budget_refusals: IntCounterVec,
 }
 
 impl Metrics {
@@ -118,6 +124,25 @@
                 "Zones whose targets get no requests",
             )?,
             cold_targets: gauge(&registry, "cold_targets", "Targets that say that they are cold")?,
+            held_bytes: gauge(&registry, "held_bytes", "Bytes held for callers and targets")?,
+            held_bytes_limit: gauge(
+                &registry,
+                "held_bytes_limit",
+                "Most bytes that may be held for callers and targets",
+            )?,
+            held_bytes_high_water: gauge(
+                &registry,
+                "held_bytes_high_water",
+                "Most bytes held for callers and targets at a time",
+            )?,
+            caller_sockets: gauge(&registry, "caller_sockets", "Connections of callers")?,
+            target_sockets: gauge(&registry, "target_sockets", "Connections to targets")?,
+            budget_refusals: counters(
+                &registry,
+                "budget_refusals_total",
+                "What was refused or given up for lack of memory or sockets",
+                &["reason"],
+            )?,
             registry,
         })
     }
--- a/crates/agatecourse-gateway/src/request/crash_check.rs
+++ b/crates/agatecourse-gateway/src/request/crash_check.rs
@@ -17,7 +17,8 @@
     report: CrashReport,
 ) -> bool {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
-    match TargetConnection::connect(target.address).await {
+    let Some(permit) = gateway.open_target_socket() else { return false };
+    match TargetConnection::connect(target.address, permit).await {
         Ok(connection) => {
             gateway.pool.borrow_mut().put(&target.id, connection, None, Instant::now());
             false
@@ -42,7 +43,9 @@
     if gateway.was_paused_recently(Instant::now()) || gateway.is_replaced(target) {
         return false;
     }
-    let Ok(connection) = TargetConnection::connect(target.address).await else { return false };
+    let Some(permit) = gateway.open_target_socket() else { return false };
+    let connection = TargetConnection::connect(target.address, permit).await;
+    let Ok(connection) = connection else { return false };
     if gateway.is_replaced(target) {
         return false;
     }
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -15,6 +15,7 @@
 mod suspect_keys;
 mod workload;
 
+pub(crate) use admission::check_head;
 pub(crate) use answer::{Reply, error_response, serialize_response};
 pub(crate) use attempt::parse_seconds;
 pub(crate) use caller_request::CallerRequest;
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -542,10 +542,12 @@
         mut connection: TargetConnection,
     ) -> NextStep {
         let gateway = self.gateway;
+        let stream_held = self.request.held.slot().hold();
         let options = RelayOptions {
             header_names: &gateway.header_names,
             closes: self.closes,
             stall_limit: self.stall_limit(),
+            held: &stream_held,
         };
         let keys = &self.admitted.suspect_keys;
         let evidence = &mut self.evidence;
@@ -573,7 +575,7 @@
         if matches!(end, RelayEnd::Complete) {
             end = if head.framing == BodyFraming::UntilClose && !still_runs(gateway, target).await {
                 RelayEnd::TargetFailed { reason: "target ended with the connection".to_string() }
-            } else if self.relay.finish(caller).await.is_err() {
+            } else if self.relay.finish(caller, &stream_held).await.is_err() {
                 RelayEnd::CallerDisconnected
             } else {
                 gateway.record_sound(Instant::now(), keys);
@@ -596,6 +598,9 @@
             RelayEnd::CallerDisconnected => NextStep::Reply(Reply::StreamBroken {
                 reason: "writing to the caller failed".to_string(),
             }),
+            RelayEnd::MemoryFull { source } => {
+                NextStep::Reply(Reply::StreamBroken { reason: source.to_string() })
+            }
             RelayEnd::TargetFailed { .. } | RelayEnd::Stalled { .. } => {
                 let reason = end.to_string();
                 drop(connection);
