dispatch: share a rank fairly between organisations and keep places for refused callers

Cause: the order of a queue knew no organisation, so that a flood inside its quota delayed and refused all others of its rank; callers that were refused came back together and were refused again.

Change: start-time fair queueing of the organisations of a rank, weighted by their quotas in tokens, and places that the owner of the queue promises to refused callers. Submissions name organisation, weight and caller; refusals name the causes of the predicted wait. The queue keeps one sorted lane for each rank and organisation.

--- a/crates/agatecourse-core/benches/dispatch.rs
+++ b/crates/agatecourse-core/benches/dispatch.rs
@@ -65,6 +65,10 @@
             version: String::new(),
             avoided_version: String::new(),
             suspects: SmallVec::new(),
+            organisation: 0,
+            weight: 0,
+            caller: 0,
+            place: None,
         };
         let mut decisions = Vec::new();
         self.dispatcher.submit(self.now, job, &mut decisions);
--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -1,10 +1,15 @@
 use super::dispatch_queue::DispatchQueue;
+use super::fair_share::FairShare;
 use super::offered_load::OfferedLoad;
 use super::prefix_index::{PrefixIndex, TargetNumber};
+use super::promised_places::PromisedPlaces;
 use super::served_shares::ServedShares;
 use super::service_profile::ServiceProfile;
 use super::target_view::{Run, TargetView};
-use super::{Decision, DispatchTarget, Job, JobKey, JobNumber, NamedLimit, RunEnd, RunReport};
+use super::{
+    Decision, DispatchTarget, Job, JobKey, JobNumber, NamedLimit, OrganisationKey, Refusal, RunEnd,
+    RunReport,
+};
 use crate::request::SuspectKey;
 use agatecourse_types::{NodeId, TargetId};
 use serde::Serialize;
@@ -26,6 +31,9 @@
 /// Upper bound of the retry delay sent to a refused caller; callers wait at most a third of their remaining time.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 
+/// Part of its remaining time that a refused caller waits at most before it returns.
+const RETURN_TIME_RATIO: f64 = 1.0 / 3.0;
+
 /// Share of a stream's run time that passes before its first event; about a tenth in the users' load profiles.
 const FIRST_EVENT_SHARE: f64 = 0.1;
 /// A starved rank keeps one queued attempt per this many slots, at any load.
@@ -50,6 +58,23 @@
     pub targets: usize,
     /// Sum of the slots of all targets, including paused ones.
     pub slots: u32,
+    /// Places that refused callers may return to.
+    pub promised_places: usize,
+    /// Waiting attempts of each rank with those of its organisation that has most.
+    pub waiting_by_rank: BTreeMap<u32, RankSnapshot>,
+}
+
+/// Waiting attempts of a rank.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct RankSnapshot {
+    /// Attempts of all organisations.
+    pub waiting: usize,
+    /// Organisations with waiting attempts.
+    pub organisations: usize,
+    /// Attempts of the organisation that has most.
+    pub most_of_one: usize,
+    /// Attempts of callers that have returned to the place that they were promised.
+    pub returned: usize,
 }
 
 /// Decides for one service which waiting attempt goes to which target, which waits and which is refused.
@@ -57,6 +82,8 @@
 pub struct Dispatcher {
     targets: BTreeMap<TargetId, TargetView>,
     queue: DispatchQueue,
+    fair_share: FairShare,
+    places: PromisedPlaces,
     profile: ServiceProfile,
     shares: ServedShares,
     offers: OfferedLoad,
@@ -109,7 +136,7 @@
     }
 
     /// Adds an attempt, or repeats the decision when the attempt already has a target.
-    pub fn submit(&mut self, now: Instant, job: Job, decisions: &mut Vec<Decision>) {
+    pub fn submit(&mut self, now: Instant, mut job: Job, decisions: &mut Vec<Decision>) {
         if let Some(target) = self.target_of(&job.key) {
             decisions.push(Decision::Grant { key: job.key, target });
             return;
@@ -120,6 +147,7 @@
         let key = job.key.clone();
         let run_s = self.profile.expected_s(job.kind, job.relative_size);
         self.offers.record(now, job.rank, run_s);
+        job.place = self.places.claim(now, job.caller).map(|place| place.first_arrived);
         self.queue.push(job);
         self.assign_free_slots(now, decisions);
         if self.queue.contains(&key) {
@@ -295,7 +323,25 @@
             running: self.targets.values().map(|view| view.runs.len()).sum(),
             targets: self.targets.len(),
             slots: self.targets.values().map(|view| view.spec.slots).sum(),
+            promised_places: self.places.len(),
+            waiting_by_rank: self.waiting_by_rank(),
+        }
+    }
+
+    fn waiting_by_rank(&self) -> BTreeMap<u32, RankSnapshot> {
+        let mut ranks: BTreeMap<u32, RankSnapshot> = BTreeMap::new();
+        for (lane, jobs) in self.queue.lanes() {
+            let rank = ranks.entry(lane.rank).or_default();
+            let mut waiting = 0;
+            for job in jobs {
+                waiting += 1;
+                rank.returned += usize::from(job.place.is_some());
+            }
+            rank.waiting += waiting;
+            rank.organisations += 1;
+            rank.most_of_one = rank.most_of_one.max(waiting);
         }
+        ranks
     }
 
     fn target_of(&self, key: &JobKey) -> Option<TargetId> {
@@ -310,32 +356,54 @@
         self.queue.sort(now);
         self.shares.expire(now);
         let mut unplaced = BTreeSet::new();
-        while let Some(key) = self.next_job(now, &unplaced) {
-            let Some(job) = self.queue.remove(&key) else { break };
-            if let Some(target) = self.choose_target(now, &job) {
-                self.shares.record(now, job.rank, true);
-                self.start_run(now, &job, &target);
-                decisions.push(Decision::Grant { key, target });
-            } else {
+        while let Some(job) = self.next_job(now, &unplaced) {
+            let (key, target) = (job.key.clone(), self.choose_target(now, job));
+            let Some(target) = target else {
                 unplaced.insert(key);
-                self.queue.push(job);
-                self.queue.sort(now);
-            }
+                continue;
+            };
+            let Some(job) = self.queue.remove(&key) else { break };
+            self.shares.record(now, job.rank, true);
+            let run_s = self.profile.expected_s(job.kind, job.relative_size);
+            self.fair_share.record(job.lane(), job.weight, run_s);
+            self.start_run(now, &job, &target);
+            decisions.push(Decision::Grant { key, target });
         }
     }
 
-    /// Returns the attempt that gets the next free slot: the first of the queue, or the first of a rank that is starved.
-    fn next_job(&self, now: Instant, unplaced: &BTreeSet<JobKey>) -> Option<JobKey> {
+    /// Returns the attempt that gets the next free slot: that of the most urgent rank, or of a rank that is starved, and in the
+    /// rank that of the organisation that has had the smallest part of its share.
+    fn next_job(&self, now: Instant, unplaced: &BTreeSet<JobKey>) -> Option<&Job> {
         if self.targets.values().all(|view| view.free_slots(now) == 0) {
             return None;
         }
-        let candidates = || {
-            self.queue.iter().filter(|job| !unplaced.contains(&job.key) && !self.is_held(now, job))
-        };
-        let first = candidates().next()?;
-        let starved =
-            candidates().find(|job| job.rank > first.rank && self.shares.is_starved(job.rank));
-        Some(starved.unwrap_or(first).key.clone())
+        let mut first: Option<(f64, &Job)> = None;
+        let mut starved: Option<(f64, &Job)> = None;
+        for (lane, mut jobs) in self.queue.lanes() {
+            let best = match first {
+                Some((_, job)) if job.rank < lane.rank => {
+                    let is_wanted = match starved {
+                        Some((_, job)) => job.rank == lane.rank,
+                        None => self.shares.is_starved(lane.rank),
+                    };
+                    if !is_wanted {
+                        continue;
+                    }
+                    &mut starved
+                }
+                _ => &mut first,
+            };
+            let is_candidate = |job: &&Job| !unplaced.contains(&job.key) && !self.is_held(now, job);
+            let Some(job) = jobs.find(is_candidate) else { continue };
+            let start = self.fair_share.start(lane);
+            let is_better = best.is_none_or(|(best_start, best_job)| {
+                start < best_start || (start <= best_start && job.arrived < best_job.arrived)
+            });
+            if is_better {
+                *best = Some((start, job));
+            }
+        }
+        starved.or(first).map(|(_, job)| job)
     }
 
     /// Returns whether an attempt waits for another run to show whether a suspect that both share crashes targets.
@@ -448,7 +516,8 @@
     /// that time is added to the predicted wait. Streams get no such addition, because a refused caller sends the request
     /// again and then waits behind others. The time to the first byte is required of an arriving attempt only, so that a
     /// queued one isn't refused later because its predicted wait was slightly too short. A starved rank keeps some
-    /// attempts in the queue at any load.
+    /// attempts in the queue at any load. A caller that has returned to its place is refused only when its run takes longer than
+    /// the time that it has left.
     fn refuse_late_jobs(
         &mut self,
         now: Instant,
@@ -472,9 +541,18 @@
         let slots: u32 = self.targets.values().map(|view| view.spec.slots).sum();
         let kept_limit = slots.div_ceil(STARVED_SLOTS_DIVISOR);
         let mut ahead_s: f64 = self.remaining_run_s(now);
+        // Work before the first attempt of the rank, and the work of each of the rank's organisations.
+        let (mut rank, mut urgent_s) = (None, ahead_s);
+        let mut own_work: BTreeMap<OrganisationKey, f64> = BTreeMap::new();
         let mut refused = Vec::new();
-        for job in self.queue.iter() {
-            let run_s = self.profile.expected_s(job.kind, job.relative_size);
+        let expected_s = |job: &Job| self.profile.expected_s(job.kind, job.relative_size);
+        for job in self.queue.service_order(&self.fair_share, expected_s) {
+            if rank != Some(job.rank) {
+                (rank, urgent_s) = (Some(job.rank), ahead_s);
+                own_work.clear();
+            }
+            let own_s = own_work.entry(job.organisation).or_default();
+            let run_s = expected_s(job);
             let left_s = job.deadline.saturating_duration_since(now).as_secs_f64();
             let to_objective_s = job.objective.saturating_duration_since(now).as_secs_f64();
             let pause_s = self.pause_s(now, &job.key.node);
@@ -492,19 +570,27 @@
                     .entry(job.rank)
                     .or_insert_with(|| self.expected_overload_s(now, job.rank, capacity));
             }
-            if wait_s + run_s <= left_s {
+            let is_due = job.place.is_some() && run_s + pause_s <= left_s;
+            if is_due || wait_s + run_s <= left_s {
                 ahead_s += run_s;
+                *own_s += run_s;
                 continue;
             }
             let kept = kept_by_rank.entry(job.rank).or_insert(0_u32);
             if run_s <= left_s && *kept < kept_limit && self.shares.is_starved(job.rank) {
                 *kept += 1;
                 ahead_s += run_s;
+                *own_s += run_s;
             } else {
-                refused.push((job.key.clone(), job.rank, wait_s));
+                let refusal = Refusal {
+                    urgent_wait: wait_from_s(urgent_s / capacity),
+                    own_wait: wait_from_s(*own_s / capacity),
+                    has_place: false,
+                };
+                refused.push((job.key.clone(), wait_s, refusal));
             }
         }
-        self.refuse(now, refused, decisions);
+        self.refuse(now, refused, capacity, decisions);
     }
 
     /// Refuses attempts whose remaining time is shorter than their expected run time; used while no target is reachable.
@@ -516,24 +602,57 @@
                 let run_s = self.profile.expected_s(job.kind, job.relative_size);
                 job.deadline.saturating_duration_since(now).as_secs_f64() < run_s
             })
-            .map(|job| (job.key.clone(), job.rank, UNREACHABLE_WAIT_S))
+            .map(|job| (job.key.clone(), UNREACHABLE_WAIT_S, Refusal::default()))
             .collect();
-        self.refuse(now, overdue, decisions);
+        self.refuse(now, overdue, 0.0, decisions);
     }
 
+    /// Refuses attempts with their predicted waits in seconds, and promises their callers places while the targets have the
+    /// capacity.
     fn refuse(
         &mut self,
         now: Instant,
-        refused: Vec<(JobKey, u32, f64)>,
+        refused: Vec<(JobKey, f64, Refusal)>,
+        capacity: f64,
         decisions: &mut Vec<Decision>,
     ) {
-        for (key, rank, wait_s) in refused {
-            self.queue.remove(&key);
-            self.shares.record(now, rank, false);
-            let predicted_wait = Duration::from_secs_f64(wait_s.clamp(0.0, MAX_PREDICTED_WAIT_S));
-            let retry_after = predicted_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-            decisions.push(Decision::Refuse { key, retry_after, predicted_wait });
+        for (key, wait_s, mut refusal) in refused {
+            let Some(job) = self.queue.remove(&key) else { continue };
+            self.shares.record(now, job.rank, false);
+            let predicted_wait = wait_from_s(wait_s);
+            let mut retry_after = predicted_wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+            if let Some(delay) = self.promise_place(now, &job, wait_s, capacity) {
+                retry_after = delay;
+                refusal.has_place = true;
+            }
+            decisions.push(Decision::Refuse { key, retry_after, predicted_wait, refusal });
+        }
+    }
+
+    /// Promises the caller of a refused attempt a place behind the work that is promised already; returns the delay until then.
+    ///
+    /// A repeated attempt gets none, because its caller may not send the request again, nor does a caller that would return
+    /// too late for its run.
+    fn promise_place(
+        &mut self,
+        now: Instant,
+        job: &Job,
+        wait_s: f64,
+        capacity: f64,
+    ) -> Option<Duration> {
+        if capacity <= 0.0 || job.is_retry {
+            return None;
         }
+        let run_s = self.profile.expected_s(job.kind, job.relative_size);
+        let left_s = job.deadline.saturating_duration_since(now).as_secs_f64();
+        let room_s = wait_s + self.places.promised_s(job.rank) / capacity;
+        let delay_s = room_s.min(left_s * RETURN_TIME_RATIO);
+        if delay_s + run_s > left_s {
+            return None;
+        }
+        let delay = wait_from_s(delay_s).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        let due = self.places.promise(now, job, now + delay, run_s, capacity)?;
+        Some(due.saturating_duration_since(now).max(MIN_RETRY_AFTER))
     }
 
     /// Returns half of the expected remaining time of the running attempts, in slot-seconds on a target of mean speed.
@@ -559,3 +678,8 @@
         sum
     }
 }
+
+/// Converts a predicted wait, which is bounded by the longest that is reported.
+fn wait_from_s(wait_s: f64) -> Duration {
+    Duration::from_secs_f64(wait_s.clamp(0.0, MAX_PREDICTED_WAIT_S))
+}
--- a/crates/agatecourse-core/src/request/dispatch/job.rs
+++ b/crates/agatecourse-core/src/request/dispatch/job.rs
@@ -1,4 +1,5 @@
-use super::PromptParts;
+use super::fair_share::LaneId;
+use super::{CallerKey, OrganisationKey, PromptParts};
 use crate::request::SuspectKey;
 use agatecourse_types::{NodeId, TargetId, VersionId};
 use serde::{Deserialize, Serialize};
@@ -50,6 +51,21 @@
     pub avoided_version: VersionId,
     /// Keys of the request that may have crashed targets; requests that share one run one after the other.
     pub suspects: SmallVec<[SuspectKey; 2]>,
+    /// Organisation of the caller, 0 when it is not known.
+    pub organisation: OrganisationKey,
+    /// Share of the organisation relative to others of its rank, 0 when it is not known.
+    pub weight: u32,
+    /// Identifies repeats of the caller's request, 0 when they can't be recognised.
+    pub caller: CallerKey,
+    /// Arrival of the caller's refused attempt, if the caller returns to the place that it was promised then; set by the
+    /// dispatcher.
+    pub place: Option<Instant>,
+}
+
+impl Job {
+    pub(super) fn lane(&self) -> LaneId {
+        LaneId { rank: self.rank, organisation: self.organisation }
+    }
 }
 
 /// Decision of the dispatcher about an attempt.
@@ -70,5 +86,18 @@
         retry_after: Duration,
         /// Wait that was predicted for the attempt.
         predicted_wait: Duration,
+        /// Causes of that wait.
+        refusal: Refusal,
     },
 }
+
+/// Why an attempt was refused, and what its caller was promised.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Refusal {
+    /// Part of the predicted wait that is due to more urgent ranks and running attempts.
+    pub urgent_wait: Duration,
+    /// Part of the predicted wait that is due to the caller's own organisation in its rank.
+    pub own_wait: Duration,
+    /// True if the caller has a place in the order when it returns at the time it was given.
+    pub has_place: bool,
+}
--- a/crates/agatecourse-core/src/request/dispatch/mod.rs
+++ b/crates/agatecourse-core/src/request/dispatch/mod.rs
@@ -6,9 +6,11 @@
 
 mod dispatch_queue;
 mod dispatcher;
+mod fair_share;
 mod job;
 mod offered_load;
 mod prefix_index;
+mod promised_places;
 mod run_report;
 mod served_shares;
 mod service_profile;
@@ -16,8 +18,10 @@
 mod target_view;
 
 pub use dispatcher::{Dispatcher, DispatcherSnapshot};
-pub use job::{Decision, Job, JobKey, JobNumber};
+pub use fair_share::OrganisationKey;
+pub use job::{Decision, Job, JobKey, JobNumber, Refusal};
 pub use prefix_index::{PromptPart, PromptParts};
+pub use promised_places::CallerKey;
 pub use run_report::{RunEnd, RunReport};
 pub use target_signals::{Closure, NamedLimit, SignalChange, TargetSignal, TargetSignals};
 pub use target_view::DispatchTarget;
--- a/crates/agatecourse-core/tests/crashing_parts.rs
+++ b/crates/agatecourse-core/tests/crashing_parts.rs
@@ -251,6 +251,10 @@
             version: String::new(),
             avoided_version: String::new(),
             suspects,
+            organisation: 0,
+            weight: 0,
+            caller: 0,
+            place: None,
         };
         self.decide(|dispatcher, now, decisions| dispatcher.submit(now, job, decisions));
     }
--- a/crates/agatecourse-core/tests/dispatcher/load_patterns.rs
+++ b/crates/agatecourse-core/tests/dispatcher/load_patterns.rs
@@ -126,6 +126,7 @@
         run: millis(30),
         objective: millis(150),
         deadline: millis(1_000),
+        ..RequestKind::default()
     }];
     let mut simulation = Simulation::new(6, &healthy(3), &kinds);
     simulation.run_load(Duration::from_secs(10), |_| 1.0);
--- a/crates/agatecourse-core/tests/dispatcher/main.rs
+++ b/crates/agatecourse-core/tests/dispatcher/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher in virtual time.
 
 mod decisions;
+mod fair_order;
 mod load_patterns;
 mod prompt_parts;
 mod simulation;
--- a/crates/agatecourse-core/tests/dispatcher/simulation.rs
+++ b/crates/agatecourse-core/tests/dispatcher/simulation.rs
@@ -19,13 +19,23 @@
 }
 
 /// Rate, run time and limits of one kind of request.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct RequestKind {
     pub rank: u32,
     pub arrivals_per_s: f64,
     pub run: Duration,
     pub objective: Duration,
     pub deadline: Duration,
+    /// Organisation of the callers, 0 for none.
+    pub organisation: u64,
+    /// Weight of the organisation, 0 when it is not known.
+    pub weight: u32,
+    /// Tokens of the prompt, 0 for a plain request.
+    pub prompt_tokens: u32,
+    /// True if callers come back once after a refusal, when they are told.
+    pub returns: bool,
+    /// True if the dispatcher can recognise a repeat of the request.
+    pub recognised: bool,
 }
 
 /// Results of the requests of a rank.
@@ -38,16 +48,38 @@
     pub failed: u32,
     /// Refusals that came later than an eighth of the objective.
     pub refused_late: u32,
+    /// Requests of which the repeat was refused as well.
+    pub refused_twice: u32,
+    /// Sum of the waits of the granted attempts.
+    pub waited: Duration,
 }
 
 impl RankCounts {
     pub fn served_share(&self) -> f64 {
         f64::from(self.on_time + self.late) / f64::from(self.offered.max(1))
     }
+
+    /// Returns the mean wait of the served requests in seconds.
+    pub fn mean_wait_s(&self) -> f64 {
+        self.waited.as_secs_f64() / f64::from((self.on_time + self.late).max(1))
+    }
+}
+
+/// A request whose attempt is in the queue.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    /// Index of the kind.
+    kind: usize,
+    /// Arrival of the caller's first attempt.
+    first_arrived: Duration,
+    /// Hash by which the dispatcher recognises the caller.
+    caller: u64,
+    is_repeat: bool,
 }
 
 enum Event {
     Arrive(usize),
+    Return(Waiting),
     End(JobKey, RunEnd, Duration),
     Timer,
 }
@@ -58,10 +90,12 @@
     start: Instant,
     behaviours: BTreeMap<String, TargetBehaviour>,
     kinds: Vec<RequestKind>,
-    waiting: BTreeMap<JobKey, (usize, Duration)>,
+    waiting: BTreeMap<JobKey, Waiting>,
     events: BTreeMap<(Duration, u64), Event>,
     next_number: u64,
     pub counts_by_rank: BTreeMap<u32, RankCounts>,
+    /// Results of the requests of each kind, by its index.
+    pub counts_by_kind: BTreeMap<usize, RankCounts>,
     pub runs: BTreeMap<String, u32>,
     /// Events after which an attempt waited although a healthy slot was free.
     pub idle_while_waiting: u32,
@@ -79,6 +113,7 @@
             events: BTreeMap::new(),
             next_number: 0,
             counts_by_rank: BTreeMap::new(),
+            counts_by_kind: BTreeMap::new(),
             runs: BTreeMap::new(),
             idle_while_waiting: 0,
         };
@@ -100,11 +135,18 @@
 
     /// Runs the load for `length`; `factor` multiplies the rate of all kinds at a given time.
     pub fn run_load(&mut self, length: Duration, factor: impl Fn(Duration) -> f64) {
+        self.run_kinds(length, |_, at| factor(at));
+    }
+
+    /// Runs the load for `length`; `factor` multiplies the rate of the kind with an index at a given time.
+    pub fn run_kinds(&mut self, length: Duration, factor: impl Fn(usize, Duration) -> f64) {
         for (index, kind) in self.kinds.clone().iter().enumerate() {
             let mut at = Duration::from_millis(1 + index as u64);
             while at < length {
                 self.schedule(at, Event::Arrive(index));
-                at += Duration::from_secs_f64(1.0 / (kind.arrivals_per_s * factor(at)).max(0.01));
+                at += Duration::from_secs_f64(
+                    1.0 / (kind.arrivals_per_s * factor(index, at)).max(0.01),
+                );
             }
         }
         let mut at = Duration::ZERO;
@@ -127,15 +169,15 @@
         let mut decisions = Vec::new();
         match event {
             Event::Arrive(index) => {
-                let kind = self.kinds[index];
                 self.next_number += 1;
-                let key = JobKey {
-                    node: format!("node-{}", self.next_number % 9),
-                    number: self.next_number,
-                };
-                self.counts_by_rank.entry(kind.rank).or_default().offered += 1;
-                self.waiting.insert(key.clone(), (index, at));
-                self.dispatcher.submit(now, job(key, index as u64, &kind, now), &mut decisions);
+                let caller = self.next_number;
+                self.count(index, |counts| counts.offered += 1);
+                let request = Waiting { kind: index, first_arrived: at, caller, is_repeat: false };
+                self.submit(now, request, &mut decisions);
+            }
+            Event::Return(request) => {
+                let request = Waiting { is_repeat: true, ..request };
+                self.submit(now, request, &mut decisions);
             }
             Event::End(key, end, elapsed) => {
                 self.dispatcher.finish(now, &key, RunReport { end, elapsed }, &mut decisions);
@@ -155,12 +197,31 @@
         }
     }
 
+    fn submit(&mut self, now: Instant, request: Waiting, decisions: &mut Vec<Decision>) {
+        let kind = self.kinds[request.kind];
+        self.next_number += 1;
+        let key =
+            JobKey { node: format!("node-{}", self.next_number % 9), number: self.next_number };
+        let deadline = self.start + request.first_arrived + kind.deadline;
+        let attempt = Job {
+            caller: if kind.recognised { request.caller } else { 0 },
+            deadline,
+            ..job(key.clone(), request.kind as u64, &kind, now)
+        };
+        self.waiting.insert(key, request);
+        self.dispatcher.submit(now, attempt, decisions);
+    }
+
+    fn count(&mut self, kind: usize, update: impl Fn(&mut RankCounts)) {
+        update(self.counts_by_rank.entry(self.kinds[kind].rank).or_default());
+        update(self.counts_by_kind.entry(kind).or_default());
+    }
+
     fn apply_decision(&mut self, at: Duration, decision: Decision) {
         match decision {
             Decision::Grant { key, target } => {
-                let Some((index, arrived)) = self.waiting.remove(&key) else { return };
-                let kind = self.kinds[index];
-                let counts = self.counts_by_rank.entry(kind.rank).or_default();
+                let Some(request) = self.waiting.remove(&key) else { return };
+                let kind = self.kinds[request.kind];
                 *self.runs.entry(target.clone()).or_default() += 1;
                 let (end, elapsed) = match self.behaviours[&target] {
                     TargetBehaviour::Slowness(factor) => {
@@ -172,25 +233,37 @@
                     TargetBehaviour::FailsFast => (RunEnd::Failed, Duration::from_millis(2)),
                     TargetBehaviour::ResetsFast => (RunEnd::Broken, Duration::from_millis(2)),
                 };
-                if end == RunEnd::Answered {
-                    // The first byte arrives after a tenth of the run time.
-                    if at.checked_sub(arrived).unwrap() + kind.run / 10 <= kind.objective {
+                let waited = at.saturating_sub(request.first_arrived);
+                // The first byte arrives after a tenth of the run time.
+                let is_on_time = waited + kind.run / 10 <= kind.objective;
+                self.count(request.kind, |counts| {
+                    if end != RunEnd::Answered {
+                        counts.failed += 1;
+                        return;
+                    }
+                    counts.waited += waited;
+                    if is_on_time {
                         counts.on_time += 1;
                     } else {
                         counts.late += 1;
                     }
-                } else {
-                    counts.failed += 1;
-                }
+                });
                 self.schedule(at + elapsed, Event::End(key, end, elapsed));
             }
-            Decision::Refuse { key, .. } => {
-                let Some((index, arrived)) = self.waiting.remove(&key) else { return };
-                let kind = self.kinds[index];
-                let counts = self.counts_by_rank.entry(kind.rank).or_default();
-                counts.refused += 1;
-                counts.refused_late +=
-                    u32::from(at.checked_sub(arrived).unwrap() > kind.objective / 8);
+            Decision::Refuse { key, retry_after, .. } => {
+                let Some(request) = self.waiting.remove(&key) else { return };
+                let kind = self.kinds[request.kind];
+                let waited = at.saturating_sub(request.first_arrived);
+                if kind.returns && !request.is_repeat {
+                    let left = kind.deadline.saturating_sub(waited);
+                    self.schedule(at + retry_after.min(left / 3), Event::Return(request));
+                    return;
+                }
+                self.count(request.kind, |counts| {
+                    counts.refused += 1;
+                    counts.refused_twice += u32::from(request.is_repeat);
+                    counts.refused_late += u32::from(waited > kind.objective / 8);
+                });
             }
         }
     }
@@ -206,7 +279,7 @@
         objective: now + kind.objective,
         deadline: now + kind.deadline,
         relative_size: 1.0,
-        prompt_tokens: 0,
+        prompt_tokens: kind.prompt_tokens,
         prompt_parts: SmallVec::new(),
         zone: "a".to_string(),
         excluded: SmallVec::new(),
@@ -214,6 +287,10 @@
         version: String::new(),
         avoided_version: String::new(),
         suspects: SmallVec::new(),
+        organisation: kind.organisation,
+        weight: kind.weight,
+        caller: 0,
+        place: None,
     }
 }
 
@@ -227,6 +304,7 @@
             run: millis(700),
             objective: millis(800),
             deadline: millis(12_000),
+            ..RequestKind::default()
         },
         RequestKind {
             rank: 1,
@@ -234,6 +312,7 @@
             run: millis(320),
             objective: millis(1_200),
             deadline: millis(6_000),
+            ..RequestKind::default()
         },
         RequestKind {
             rank: 2,
@@ -241,6 +320,7 @@
             run: millis(900),
             objective: millis(1_500),
             deadline: millis(15_000),
+            ..RequestKind::default()
         },
     ]
 }
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -6,8 +6,8 @@
 use super::{NodeCapacity, PeerMessage, WireJob};
 use agatecourse_core::request::SuspectKey;
 use agatecourse_core::request::dispatch::{
-    Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber, RunEnd,
-    RunReport, TargetSignals,
+    Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber, Refusal,
+    RunEnd, RunReport, TargetSignals,
 };
 use agatecourse_types::{NodeId, TargetId, rendezvous_owner, stable_hash};
 pub use coordinator_action::CoordinatorAction;
@@ -238,11 +238,24 @@
             PeerMessage::Granted { number, target } => {
                 self.on_granted(now, from, number, target, actions);
             }
-            PeerMessage::Refused { number, retry_after_ms, predicted_wait_ms } => {
+            PeerMessage::Refused {
+                number,
+                retry_after_ms,
+                predicted_wait_ms,
+                urgent_wait_ms,
+                own_wait_ms,
+                has_place,
+            } => {
                 if self.waiting.remove(&number).is_some() {
+                    let millis = |value: u32| Duration::from_millis(u64::from(value));
                     let placement = Placement::Refused {
-                        retry_after: Duration::from_millis(u64::from(retry_after_ms)),
-                        predicted_wait: Duration::from_millis(u64::from(predicted_wait_ms)),
+                        retry_after: millis(retry_after_ms),
+                        predicted_wait: millis(predicted_wait_ms),
+                        refusal: Refusal {
+                            urgent_wait: millis(urgent_wait_ms),
+                            own_wait: millis(own_wait_ms),
+                            has_place,
+                        },
                         owner: from.clone(),
                     };
                     actions.push(CoordinatorAction::Place { number, placement });
@@ -486,11 +499,14 @@
                 Decision::Grant { key, target } => {
                     (key.node, PeerMessage::Granted { number: key.number, target })
                 }
-                Decision::Refuse { key, retry_after, predicted_wait } => {
+                Decision::Refuse { key, retry_after, predicted_wait, refusal } => {
                     let message = PeerMessage::Refused {
                         number: key.number,
                         retry_after_ms: retry_after.as_millis() as u32,
                         predicted_wait_ms: predicted_wait.as_millis() as u32,
+                        urgent_wait_ms: refusal.urgent_wait.as_millis() as u32,
+                        own_wait_ms: refusal.own_wait.as_millis() as u32,
+                        has_place: refusal.has_place,
                     };
                     (key.node, message)
                 }
@@ -591,5 +607,9 @@
         version: job.version.clone(),
         avoided_version: job.avoided_version.clone(),
         suspects: job.suspects.clone(),
+        organisation: job.organisation,
+        weight: job.weight,
+        caller: job.caller,
+        place: None,
     }
 }
--- a/crates/agatecourse-gateway/src/process/coordinator/placement.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/placement.rs
@@ -1,3 +1,4 @@
+use agatecourse_core::request::dispatch::Refusal;
 use agatecourse_types::{NodeId, TargetId};
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
         retry_after: Duration,
         /// Predicted time in the queue.
         predicted_wait: Duration,
+        /// Causes of that wait, and whether the caller has a place when it returns.
+        refusal: Refusal,
         /// Owner of the queue, which made the decision.
         owner: NodeId,
     },
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -26,6 +26,7 @@
     pub(crate) peer_messages: IntCounterVec,
     pub(crate) owner_changes: IntCounter,
     pub(crate) quarantined_keys: IntGauge,
+    pub(crate) queue_refusals: IntCounterVec,
 }
 
 impl Metrics {
@@ -90,6 +91,12 @@
                 "quarantined_keys",
                 "Prompt parts and requests that are refused because they crash targets",
             )?,
+            queue_refusals: counters(
+                &registry,
+                "queue_refusals_total",
+                "Requests that a queue refused, by whether the caller has a place when it returns",
+                &["has_place"],
+            )?,
             registry,
         })
     }
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -1,5 +1,7 @@
 use super::DocumentId;
-use agatecourse_core::request::dispatch::{JobNumber, PromptParts, RunReport};
+use agatecourse_core::request::dispatch::{
+    CallerKey, JobNumber, OrganisationKey, PromptParts, RunReport,
+};
 use agatecourse_core::request::{SuspectKey, SuspectKeys, TargetHash};
 use agatecourse_core::version::{RolloutCounts, RolloutState};
 use agatecourse_types::{NodeId, TargetId, VersionId, ZoneId};
@@ -167,6 +169,13 @@
     pub suspects: SmallVec<[SuspectKey; 2]>,
     /// Parts of the prompt.
     pub prompt_parts: PromptParts,
+    // Nodes before the fair order end a job here.
+    /// Hash of the caller's organisation, 0 when it is not known.
+    pub organisation: OrganisationKey,
+    /// Share of the organisation relative to others of its rank, 0 when it is not known.
+    pub weight: u32,
+    /// Identifies repeats of the caller's request, 0 when they can't be recognised.
+    pub caller: CallerKey,
 }
 
 /// A message between nodes.
@@ -203,6 +212,13 @@
         retry_after_ms: u32,
         /// Predicted wait in milliseconds.
         predicted_wait_ms: u32,
+        // Nodes before the fair order end a refusal here.
+        /// Part of the predicted wait that is due to more urgent ranks and running attempts, in milliseconds.
+        urgent_wait_ms: u32,
+        /// Part of the predicted wait that is due to the caller's own organisation, in milliseconds.
+        own_wait_ms: u32,
+        /// True if the caller has a place in the order when it returns after `retry_after_ms`.
+        has_place: bool,
     },
     /// A run has ended, or a waiting attempt was cancelled.
     Ended {
--- a/crates/agatecourse-gateway/src/process/peer_message/tests.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message/tests.rs
@@ -88,3 +88,102 @@
     buffer[..bytes.len()].copy_from_slice(&bytes);
     expect_that!(PeerEnvelope::decode(&mut buffer, bytes.len()), ok(eq(&envelope)));
 }
+
+/// Submission as nodes before the fair order sent it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct EarlierJob {
+    kind: u64,
+    rank: u32,
+    waited_ms: u32,
+    objective_ms: u32,
+    deadline_ms: u32,
+    relative_size: f32,
+    prompt_tokens: u32,
+    shared_part: u64,
+    zone: ZoneId,
+    excluded: SmallVec<[TargetId; 2]>,
+    is_retry: bool,
+    version: VersionId,
+    avoided_version: VersionId,
+    suspects: SmallVec<[SuspectKey; 2]>,
+    prompt_parts: PromptParts,
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierQueueMessage {
+    Heartbeat(()),
+    Submit { queue: String, number: JobNumber, job: Box<EarlierJob> },
+    Queued { number: JobNumber },
+    Granted { number: JobNumber, target: TargetId },
+    Refused { number: JobNumber, retry_after_ms: u32, predicted_wait_ms: u32 },
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierQueueEnvelope {
+    from: NodeId,
+    message: EarlierQueueMessage,
+}
+
+fn earlier_job() -> EarlierJob {
+    EarlierJob {
+        kind: u64::MAX,
+        rank: 18,
+        waited_ms: 3,
+        objective_ms: 1_200,
+        deadline_ms: 10_000,
+        relative_size: 1.0,
+        prompt_tokens: 1_170,
+        shared_part: 0,
+        zone: "a".to_string(),
+        excluded: SmallVec::new(),
+        is_retry: false,
+        version: String::new(),
+        avoided_version: String::new(),
+        suspects: SmallVec::from_slice(&[5]),
+        prompt_parts: PromptParts::new(),
+    }
+}
+
+/// Guards against nodes of two versions that do not understand each other's submissions and refusals while one replaces the other.
+#[gtest]
+fn queue_messages_pass_between_versions() {
+    let job = Box::new(earlier_job());
+    let earlier = EarlierQueueEnvelope {
+        from: "n1".to_string(),
+        message: EarlierQueueMessage::Submit { queue: "s/0".to_string(), number: 9, job },
+    };
+    let mut buffer = vec![0xff_u8; MAX_MESSAGE_BYTES];
+    let length = postcard::to_slice(&earlier, &mut buffer).expect("it fits").len();
+    let decoded = PeerEnvelope::decode(&mut buffer, length).expect("it decodes");
+    let PeerMessage::Submit { job, .. } = &decoded.message else { panic!("not a submission") };
+    expect_that!((job.organisation, job.weight, job.caller), eq((0, 0, 0)));
+    expect_that!(job.suspects, eq(&earlier_job().suspects));
+
+    let mut newer = decoded;
+    if let PeerMessage::Submit { job, .. } = &mut newer.message {
+        (job.organisation, job.weight, job.caller) = (u64::MAX, u32::MAX, u64::MAX);
+    }
+    let bytes = postcard::to_allocvec(&newer).expect("it can be encoded");
+    expect_that!(postcard::from_bytes::<EarlierQueueEnvelope>(&bytes), ok(eq(&earlier)));
+
+    let refused = PeerEnvelope {
+        from: "n1".to_string(),
+        message: PeerMessage::Refused {
+            number: 9,
+            retry_after_ms: 900,
+            predicted_wait_ms: 4_000,
+            urgent_wait_ms: 100,
+            own_wait_ms: 3_000,
+            has_place: true,
+        },
+    };
+    let bytes = postcard::to_allocvec(&refused).expect("it can be encoded");
+    let earlier: EarlierQueueEnvelope = postcard::from_bytes(&bytes).expect("it decodes");
+    let expected =
+        EarlierQueueMessage::Refused { number: 9, retry_after_ms: 900, predicted_wait_ms: 4_000 };
+    expect_that!(earlier.message, eq(&expected));
+    let mut buffer = vec![0xff_u8; MAX_MESSAGE_BYTES];
+    let length = postcard::to_slice(&earlier, &mut buffer).expect("it fits").len();
+    let decoded = PeerEnvelope::decode(&mut buffer, length).expect("it decodes");
+    expect_that!(decoded.message, pat!(PeerMessage::Refused { has_place: eq(&false), .. }));
+}
--- a/crates/agatecourse-gateway/src/request/admission.rs
+++ b/crates/agatecourse-gateway/src/request/admission.rs
@@ -3,7 +3,7 @@
 use super::workload::Workload;
 use super::{CallerRequest, Reply};
 use crate::process::Gateway;
-use crate::version::{Deployment, Route, ServiceId};
+use crate::version::{Deployment, Quota, Route, ServiceId};
 use agatecourse_core::request::{CrashVerdict, SuspectKeys};
 use agatecourse_types::{OrganisationId, ResultCode, stable_hash};
 use std::rc::Rc;
@@ -41,6 +41,8 @@
     pub(crate) organisation: Option<OrganisationId>,
     /// Priority; 0 is served first.
     pub(crate) rank: u32,
+    /// Share of the organisation in its rank relative to others, 0 when it is not known.
+    pub(crate) weight: u32,
     pub(crate) workload: Workload,
     pub(crate) deployment_version: u64,
     /// Quota reservation of the organisation; `None` when no quota applies.
@@ -79,6 +81,7 @@
         service,
         organisation: organisation.clone(),
         rank: route.priority,
+        weight: 0,
         workload,
         deployment_version: deployment.version,
         quota: None,
@@ -90,6 +93,8 @@
         admitted.rank =
             organisation.priority.map_or(admitted.rank, |priority| priority * 16 + admitted.rank);
         if let Some(quota) = organisation.quota {
+            // An organisation with a larger quota is meant to have more of the targets' work.
+            admitted.weight = queue_weight(&quota);
             let amount = if quota.counts_tokens {
                 admitted.workload.quota_tokens(quota.default_tokens)
             } else {
@@ -120,6 +125,13 @@
     Ok(admitted)
 }
 
+/// Returns an organisation's share of the targets relative to others of its rank: its quota in tokens per second.
+fn queue_weight(quota: &Quota) -> u32 {
+    let request_tokens = if quota.counts_tokens { 1 } else { quota.default_tokens.max(1) };
+    let rate = quota.rate_per_s.saturating_mul(request_tokens);
+    u32::try_from(rate).unwrap_or(u32::MAX).max(1)
+}
+
 /// Returns the `Retry-After` and the reason of the refusal of a quarantined request; `None` for another one.
 pub(crate) fn quarantine_reason(verdict: &CrashVerdict) -> Option<(Duration, String)> {
     let CrashVerdict::Quarantined { key, crashes, retry_after } = verdict else { return None };
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -10,7 +10,7 @@
 use crate::connection::{BodyFraming, ResponseHead, TargetConnection};
 use crate::process::{Gateway, Placement, WireJob, may_start_request};
 use crate::version::Target;
-use agatecourse_core::request::dispatch::RunEnd;
+use agatecourse_core::request::dispatch::{CallerKey, Refusal, RunEnd};
 use agatecourse_core::request::{CrashReport, CrashVerdict};
 use agatecourse_types::{ResultCode, TargetId, stable_hash};
 use request_log::log_reply;
@@ -196,9 +196,10 @@
             };
             let (target, owner) = match placement {
                 Placement::Granted { target, owner } => (target, owner),
-                Placement::Refused { retry_after, predicted_wait, owner } => {
-                    let reason =
-                        format!("{owner} predicts a wait of {} ms", predicted_wait.as_millis());
+                Placement::Refused { retry_after, predicted_wait, refusal, owner } => {
+                    let reason = refusal_reason(&owner, predicted_wait, &refusal);
+                    let has_place = if refusal.has_place { "yes" } else { "no" };
+                    self.gateway.metrics.queue_refusals.with_label_values(&[has_place]).inc();
                     return self.not_placed_reply(ResultCode::Shed, retry_after, &reason);
                 }
             };
@@ -271,6 +272,12 @@
             version,
             avoided_version,
             suspects,
+            organisation: admitted
+                .organisation
+                .as_ref()
+                .map_or(0, |name| stable_hash(&[name.as_bytes()])),
+            weight: admitted.weight,
+            caller: self.caller_key(),
         };
         self.gateway.submit(now, &admitted.service, self.request.arrived, job)
     }
@@ -558,6 +565,21 @@
             .then(|| route.stream_patience().mul_f64(STALL_PATIENCE_RATIO))
     }
 
+    /// Returns the hash by which the queue recognises the caller's request when it is sent again on another connection. Repeats share
+    /// path, credentials, body and prompt, but not the request id.
+    fn caller_key(&self) -> CallerKey {
+        let headers = &self.request.head.headers;
+        let names = &self.gateway.header_names;
+        let text = |name: &str| headers.get(name).unwrap_or_default().as_bytes();
+        let repeat = self.admitted.suspect_keys.first().copied().unwrap_or_default().to_le_bytes();
+        stable_hash(&[
+            self.admitted.route.name.as_bytes(),
+            &repeat,
+            text(&names.prompt_parts),
+            text(&names.token_count),
+        ])
+    }
+
     /// Returns the hash of the route name, which identifies requests of the same kind.
     fn request_kind(&self) -> u64 {
         stable_hash(&[self.admitted.route.name.as_bytes()])
@@ -606,3 +628,14 @@
         }
     }
 }
+
+/// Returns the text by which the log explains a refusal by a queue: how long the attempt would have waited, and for whom.
+fn refusal_reason(owner: &str, predicted_wait: Duration, refusal: &Refusal) -> String {
+    let place = if refusal.has_place { ", place kept" } else { "" };
+    format!(
+        "{owner} predicts a wait of {} ms, {} ms of it for more urgent ranks and running requests, {} ms for the same organisation{place}",
+        predicted_wait.as_millis(),
+        refusal.urgent_wait.as_millis(),
+        refusal.own_wait.as_millis()
+    )
+}
--- a/crates/agatecourse-gateway/tests/coordinator.rs
+++ b/crates/agatecourse-gateway/tests/coordinator.rs
@@ -163,6 +163,9 @@
         version: String::new(),
         avoided_version: String::new(),
         suspects: SmallVec::new(),
+        organisation: 0,
+        weight: 0,
+        caller: 0,
     }
 }
 
@@ -226,7 +229,7 @@
     for drop_every in 2..6 {
         let mut cluster = Cluster::new(4, 2);
         cluster.drop_every = drop_every;
-        for number in 100..110 {
+        for number in 100..150 {
             let name = format!("node-{}", number % 4);
             cluster.submit(&name, number);
             cluster.advance(Duration::from_millis(400));
@@ -567,3 +570,65 @@
     expect_that!(returned.count(), eq(2));
     expect_that!(node.counts(), eq((0, 1)));
 }
+
+/// Returns an attempt of a caller's request with a short deadline.
+fn short_job(caller: u64) -> WireJob {
+    WireJob { deadline_ms: 2_000, caller, ..wire_job() }
+}
+
+/// Fills the queue of two targets with work for more than two seconds, and submits a request that is refused with a place; returns the
+/// time until then.
+fn refused_with_place(cluster: &mut Cluster) -> Duration {
+    for number in 100..150 {
+        cluster.submit("node-1", number);
+    }
+    cluster.advance(STEP);
+    cluster.submit_job("node-0", 10, short_job(77));
+    match &cluster.placed[&("node-0".to_string(), 10)][..] {
+        [Placement::Refused { retry_after, refusal, .. }] => {
+            expect_that!(refusal.has_place, eq(true));
+            *retry_after
+        }
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+/// Guards against a promised place that is lost because the caller returns on a connection to another node.
+#[gtest]
+fn refused_caller_finds_its_place_at_another_node() {
+    let mut cluster = Cluster::new(4, 2);
+    let delay = refused_with_place(&mut cluster);
+    cluster.advance(delay);
+    cluster.submit_job("node-2", 20, short_job(77));
+    cluster.finish("node-1", 100);
+    expect_that!(cluster.granted_target("node-2", 20), some(anything()));
+}
+
+/// Guards against callers that are neither served nor refused because the owner that promised their places has died: they count as
+/// newcomers at the next owner.
+#[gtest]
+fn place_is_given_up_with_its_owner() {
+    let mut cluster = Cluster::new(4, 2);
+    let owner = cluster.owner();
+    let delay = refused_with_place(&mut cluster);
+    cluster.dead.insert(owner.clone());
+    let others: Vec<String> =
+        cluster.nodes.keys().filter(|name| **name != owner).cloned().collect();
+    for name in &others {
+        let others = others.clone();
+        cluster.call(name, |node, _, _| node.set_members(others));
+    }
+    cluster.advance(delay);
+    let places: usize = others
+        .iter()
+        .flat_map(|name| cluster.nodes[name].snapshot().into_values())
+        .map(|snapshot| snapshot.promised_places)
+        .sum();
+    expect_that!(places, eq(0));
+    let node = others[0].clone();
+    cluster.submit_job(&node, 20, short_job(77));
+    cluster.advance(Duration::from_millis(100));
+    let is_decided = cluster.placed.contains_key(&(node.clone(), 20));
+    let is_waiting = cluster.nodes[&node].counts().0 > 0;
+    expect_that!(is_decided || is_waiting, eq(true));
+}
