--- a/crates/agatecourse-core/benches/dispatch.rs
+++ b/crates/agatecourse-core/benches/dispatch.rs
@@ -66,6 +66,10 @@
             avoided_version: String::new(),
             suspects: SmallVec::new(),
             home_zones: SmallVec::new(),
+            organisation: 0,
+            weight: 0,
+            caller: 0,
+            place: None,
         };
         let mut decisions = Vec::new();
         self.dispatcher.submit(self.now, job, &mut decisions);
--- a/crates/agatecourse-core/tests/crashing_parts.rs
+++ b/crates/agatecourse-core/tests/crashing_parts.rs
@@ -268,6 +268,10 @@
             avoided_version: String::new(),
             suspects,
             home_zones: SmallVec::new(),
+            organisation: 0,
+            weight: 0,
+            caller: 0,
+            place: None,
         };
         self.decide(|dispatcher, now, decisions| dispatcher.submit(now, job, decisions));
     }
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -174,7 +174,7 @@
     ) -> Result<Rc<Self>, GatewayError> {
         let metrics = Metrics::new().map_err(|source| GatewayError::Metrics { source })?;
         let limits = BudgetLimits::new(settings.memory_mb, settings.max_descriptors);
-        let budget = ResourceBudget::new(limits, metrics.budget_refusals.clone());
+        let budget = ResourceBudget::new(limits, metrics.budget.refusals.clone());
         let peers = PeerEndpoint::bind(settings.ip, settings.peer_port)?;
         let now = Instant::now();
         let mut members = Members::new();
@@ -265,11 +265,11 @@
     /// Sets the metrics of the budget.
     pub(crate) fn update_budget_metrics(&self) {
         let (callers, targets) = self.budget.sockets();
-        self.metrics.held_bytes.set(gauge_value(self.budget.held_bytes()));
-        self.metrics.held_bytes_limit.set(gauge_value(self.budget.limits().held_bytes));
-        self.metrics.held_bytes_high_water.set(gauge_value(self.budget.high_water_bytes()));
-        self.metrics.caller_sockets.set(gauge_value(callers));
-        self.metrics.target_sockets.set(gauge_value(targets));
+        self.metrics.budget.held_bytes.set(gauge_value(self.budget.held_bytes()));
+        self.metrics.budget.held_bytes_limit.set(gauge_value(self.budget.limits().held_bytes));
+        self.metrics.budget.held_bytes_high_water.set(gauge_value(self.budget.high_water_bytes()));
+        self.metrics.budget.caller_sockets.set(gauge_value(callers));
+        self.metrics.budget.target_sockets.set(gauge_value(targets));
     }
 
     /// Increments the metric for calls to the platform, by call and result.
