--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -290,7 +290,7 @@
     }
 
     /// Returns whether the process was paused and may still read what came meanwhile.
-    pub(crate) fn was_paused_recently(&self, now: Instant) -> bool {
+    pub fn was_paused_recently(&self, now: Instant) -> bool {
         let end = self.last_pause_end.get();
         end.is_some_and(|end| now.saturating_duration_since(end) < PAUSE_BACKLOG_TIME)
     }
