feat(quota): the reserve by rank counts the use that leaves the window in time

Cause: the reserve kept all that urgent ranks were expected to ask for in a window.

Change: the reserve is what the urgent ranks are expected to need before the use that leaves the window frees as much, at the time of the next window when that is most, with the need until the next reports and the spread of random arrivals. What ranks got is not counted any more.

--- a/crates/agatecourse-core/src/request/quota_reserve.rs
+++ b/crates/agatecourse-core/src/request/quota_reserve.rs
@@ -18,8 +18,9 @@
 /// Reserves a part of an organisation's quota for its more urgent requests.
 ///
 /// Without it, a flood of cheap requests uses up the quota that the organisation's own urgent requests need a moment later. Each node counts
-/// what the ranks of the organisation have asked for and got in the window, and reports it to the others. What the more urgent ranks are expected to ask for and
-/// have not got is kept from the others; it is lent back as the demand for it leaves the window. A rank alone has no reserve.
+/// what the ranks of the organisation have asked for in the window, and reports it to the others. From this follows what the more urgent ranks are expected to
+/// ask for; [`QuotaWindow`](super::QuotaWindow) keeps as much of it from the others as the use that leaves the window does not free in time. It is
+/// lent back as the demand leaves the window. A rank alone has no reserve.
 ///
 /// ```
 /// use agatecourse_core::request::QuotaReserve;
@@ -28,10 +29,9 @@
 /// let now = Instant::now();
 /// let mut reserve = QuotaReserve::new(Duration::from_secs(8));
 /// reserve.record_asked(now, 0, 800);
-/// reserve.record_got(now, 0, 800);
-/// assert_eq!(reserve.terms(now, 0).reserved, 0);
+/// assert_eq!(reserve.terms(now, 0).urgent, 0);
 /// // The rank is expected to go on in the next window.
-/// assert!(reserve.terms(now, 1).reserved > 0);
+/// assert!(reserve.terms(now, 1).urgent > 0);
 /// ```
 #[derive(Debug, Clone)]
 pub struct QuotaReserve {
@@ -42,7 +42,7 @@
     first_record: Option<Instant>,
 }
 
-/// What a rank has asked for and got on one node within a window.
+/// What a rank has asked for on one node within a window.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankReport {
     /// Rank of the requests; 0 is served first.
@@ -53,8 +53,6 @@
     pub asked_recently: u64,
     /// Number of requests of the rank that have asked in the window.
     pub requests: u32,
-    /// Amount that the rank got.
-    pub got: u64,
 }
 
 /// Reports of the ranks of an organisation.
@@ -63,8 +61,10 @@
 /// Terms of a rank for its part of the quota.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RankTerms {
-    /// Amount that is kept for more urgent ranks.
-    pub reserved: u64,
+    /// Amount that more urgent ranks are expected to ask for in a window at all nodes.
+    pub urgent: u64,
+    /// Amount that random arrivals of these ranks may add.
+    pub spread: u64,
     /// Amount that this rank and the more urgent ones are expected to ask for in a window at all nodes; `None` until the demand is known.
     pub expected: Option<u64>,
     /// Number of nodes that have reported what they were asked for, with this one.
@@ -73,7 +73,7 @@
 
 #[derive(Debug, Clone, Default)]
 struct RankAmounts {
-    /// Amounts that were asked for and got, by time.
+    /// Amounts that were asked for, by time.
     buckets: VecDeque<(Instant, RankReport)>,
 }
 
@@ -82,7 +82,6 @@
         self.asked += other.asked;
         self.asked_recently += other.asked_recently;
         self.requests += other.requests;
-        self.got += other.got;
     }
 
     /// Returns the amount that is expected to be asked for in a window. It is meant for the sum over all nodes, as the newest demand of one node varies much.
@@ -90,12 +89,10 @@
         self.asked.max(self.asked_recently * u64::from(RECENT_DIVISOR))
     }
 
-    /// Returns the expected amount with what random arrivals may add to it in a window: two standard deviations of the sum of as many requests.
-    fn needed(&self) -> u64 {
-        let expected = self.expected();
+    /// Returns what random arrivals may add to the expected amount in a window: two standard deviations of the sum of as many requests.
+    fn spread(&self) -> u64 {
         let mean = self.asked as f64 / f64::from(self.requests.max(1));
-        let spread = (expected as f64 * mean).sqrt() * 2.0;
-        expected + expected / MARGIN_DIVISOR + spread as u64
+        ((self.expected() as f64 * mean).sqrt() * 2.0) as u64
     }
 }
 
@@ -131,27 +128,13 @@
         self.own.entry(rank).or_default().add(now, &asked);
     }
 
-    /// Records that a request of a rank got an amount on this node.
-    pub fn record_got(&mut self, now: Instant, rank: u32, amount: u64) {
-        let got = RankReport { got: amount, ..RankReport::default() };
-        self.own.entry(rank).or_default().add(now, &got);
-    }
-
-    /// Records that an amount that a request of a rank got was not used.
-    pub fn record_released(&mut self, rank: u32, amount: u64) {
-        let newest = self.own.get_mut(&rank).and_then(|amounts| amounts.buckets.back_mut());
-        if let Some((_, sum)) = newest {
-            sum.got = sum.got.saturating_sub(amount);
-        }
-    }
-
     /// Records what a peer reports, in place of its previous report.
     pub fn record_peer(&mut self, now: Instant, node: NodeId, reports: RankReports) {
         self.first_record.get_or_insert(now);
         self.peers.insert(node, (now, reports));
     }
 
-    /// Returns what the ranks have asked for and got on this node, for the other nodes.
+    /// Returns what the ranks have asked for on this node, for the other nodes.
     pub fn reports(&mut self, now: Instant) -> RankReports {
         self.expire(now);
         let mut reports = RankReports::new();
@@ -181,7 +164,8 @@
             }
         }
         RankTerms {
-            reserved: above.needed().saturating_sub(above.got),
+            urgent: above.expected() + above.expected() / MARGIN_DIVISOR,
+            spread: above.spread(),
             expected: self.knows_demand(now).then(|| own_and_above.expected()),
             reporting_nodes: self.peers.len() + 1,
         }
--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -437,7 +437,7 @@
         let limit = self.bound.map_or(limit, |bound| bound.min(limit));
         // Urgent requests also get what a higher bound allows.
         let is_near_limit = used >= full_limit / RESERVE_FROM_DIVISOR;
-        let reserved = if is_near_limit { terms.reserved } else { 0 };
+        let reserved = if is_near_limit { self.reserve_for_urgent(now, &terms) } else { 0 };
         let reserved = reserved.saturating_sub(full_limit - limit).min(limit);
         let mut period = match self.period {
             Some(period) if now.saturating_duration_since(period.started) < self.share_period() => {
@@ -527,6 +527,24 @@
         ((unused + slack / 2) as f64 / asking_nodes / self.draw()) as u64
     }
 
+    /// Returns the amount to keep for more urgent ranks: what they are expected to need before the use that leaves the window frees as much, at the time of
+    /// the next window when this is most.
+    fn reserve_for_urgent(&mut self, now: Instant, terms: &RankTerms) -> u64 {
+        if terms.urgent == 0 {
+            return 0;
+        }
+        let per_s = terms.urgent as f64 / self.width.as_secs_f64();
+        let (mut freed, mut most) = (0, 0.0_f64);
+        for (age, amount) in self.history.amounts(now) {
+            let until = self.width.saturating_sub(age);
+            most = most.max(per_s * until.as_secs_f64() - freed as f64);
+            freed += amount;
+        }
+        most = most.max(terms.urgent as f64 - freed as f64);
+        let until_reports = per_s * self.share_period().as_secs_f64();
+        (most + until_reports) as u64 + terms.spread
+    }
+
     /// Returns the amount that live nodes expect to be asked for until they have reported again; `None` if too few of them say what they expect.
     fn due_until_reports(&self, terms: &RankTerms, live_nodes: usize) -> Option<u64> {
         let expected = terms.expected.filter(|_| terms.reporting_nodes * 2 >= live_nodes)? as f64;
--- a/crates/agatecourse-gateway/src/process/gateway_quota.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_quota.rs
@@ -135,9 +135,6 @@
         if !reserved.as_ref().is_err_and(|refusal| refusal.is_bounded) {
             reserve.record_asked(now, rank, amount);
         }
-        if reserved.is_ok() {
-            reserve.record_got(now, rank, amount);
-        }
         if let Err(refusal) = &reserved {
             let kind = if refusal.reserved > 0 { "reserved" } else { "limit" };
             self.metrics.quota_refusals.with_label_values(&[kind]).inc();
@@ -319,14 +316,10 @@
     }
 
     /// Releases a reserved amount that was not sent.
-    pub(crate) fn release_quota(&self, organisation: &OrganisationId, rank: u32, amount: u64) {
-        let mut quotas = self.quotas.borrow_mut();
-        if let Some(window) = quotas.windows.get_mut(organisation) {
+    pub(crate) fn release_quota(&self, organisation: &OrganisationId, amount: u64) {
+        if let Some(window) = self.quotas.borrow_mut().windows.get_mut(organisation) {
             window.release(amount);
         }
-        if let Some(reserve) = quotas.reserves.get_mut(organisation) {
-            reserve.record_released(rank, amount);
-        }
     }
 
     /// Keeps counting the use of a peer's earlier process after the peer has restarted.
@@ -406,7 +399,7 @@
         report
     }
 
-    /// Returns what the ranks of organisations near their limit have asked for and got on this node, for a heartbeat; the organisations with most use
+    /// Returns what the ranks of organisations near their limit have asked for on this node, for a heartbeat; the organisations with most use
     /// in relation to their limit if there are many of them.
     pub(crate) fn rank_demands(&self, now: Instant) -> Vec<RankDemand> {
         let Some(deployment) = self.deployment() else { return Vec::new() };
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -63,7 +63,7 @@
     pub rank_demands: Vec<RankDemand>,
 }
 
-/// What the ranks of an organisation have asked for and got on the sending node in the quota window.
+/// What the ranks of an organisation have asked for on the sending node in the quota window.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankDemand {
     /// Hash of the organisation's name.
--- a/crates/agatecourse-gateway/src/request/admission.rs
+++ b/crates/agatecourse-gateway/src/request/admission.rs
@@ -116,8 +116,7 @@
                     AdmissionError::Refused(Reply::refusal(code, QUOTA_RETRY, reason))
                 });
             }
-            let rank = admitted.rank;
-            admitted.quota = Some(QuotaReservation::new(gateway, &organisation.name, rank, amount));
+            admitted.quota = Some(QuotaReservation::new(gateway, &organisation.name, amount));
         }
     }
     Ok(admitted)
--- a/crates/agatecourse-gateway/src/request/quota_reservation.rs
+++ b/crates/agatecourse-gateway/src/request/quota_reservation.rs
@@ -8,22 +8,15 @@
 pub(crate) struct QuotaReservation {
     gateway: Rc<Gateway>,
     organisation: OrganisationId,
-    rank: u32,
     amount: u64,
     is_committed: bool,
 }
 
 impl QuotaReservation {
-    pub(crate) fn new(
-        gateway: &Rc<Gateway>,
-        organisation: &OrganisationId,
-        rank: u32,
-        amount: u64,
-    ) -> Self {
+    pub(crate) fn new(gateway: &Rc<Gateway>, organisation: &OrganisationId, amount: u64) -> Self {
         Self {
             gateway: Rc::clone(gateway),
             organisation: organisation.clone(),
-            rank,
             amount,
             is_committed: false,
         }
@@ -48,7 +41,7 @@
 impl Drop for QuotaReservation {
     fn drop(&mut self) {
         if !self.is_committed {
-            self.gateway.release_quota(&self.organisation, self.rank, self.amount);
+            self.gateway.release_quota(&self.organisation, self.amount);
         }
     }
 }
