--- a/crates/agatecourse-core/tests/quota_reserve.rs
+++ b/crates/agatecourse-core/tests/quota_reserve.rs
@@ -202,7 +202,7 @@
         for time_ms in use_times_ms {
             window.commit(start + Duration::from_millis(time_ms), 30_000);
         }
-        (0..)
+        (0..1_000)
             .take_while(|_| window.try_reserve_ranked(later, 10_000, LIMIT, 0, terms).is_ok())
             .count()
     };
