--- a/crates/agatecourse-core/src/request/dispatch/promised_places.rs
+++ b/crates/agatecourse-core/src/request/dispatch/promised_places.rs
@@ -115,11 +115,11 @@
             return None;
         }
         let run_time = Duration::try_from_secs_f64(run_s).unwrap_or_default();
-        let run_us = run_time.as_micros() as u64;
+        let micros = run_time.as_micros() as u64;
         let first_arrived = job.place.unwrap_or(job.arrived);
-        let place = Place { first_arrived, due, rank: job.rank, run_us, is_repeat };
+        let place = Place { first_arrived, due, rank: job.rank, run_us: micros, is_repeat };
         self.by_caller.insert(job.caller, place);
-        *self.sums(is_repeat).run_us_by_rank.entry(job.rank).or_default() += run_us;
+        *self.sums(is_repeat).run_us_by_rank.entry(job.rank).or_default() += micros;
         self.expire_at(due + KEPT_AFTER_DUE);
         Some(due)
     }
