--- a/crates/agatecourse-core/src/request/dispatch/promised_places.rs
+++ b/crates/agatecourse-core/src/request/dispatch/promised_places.rs
@@ -29,7 +29,7 @@
     pub(super) first_arrived: Instant,
     due: Instant,
     rank: u32,
-    work_us: u64,
+    run_us: u64,
     /// True if the caller had been refused before.
     is_repeat: bool,
 }
@@ -60,7 +60,7 @@
         let returned = f64::from(u8::from(has_returned));
         self.return_share += RETURN_LEARNING_RATE * (returned - self.return_share);
         if let Some(sum) = self.run_us_by_rank.get_mut(&place.rank) {
-            *sum -= place.work_us;
+            *sum -= place.run_us;
         }
     }
 }
@@ -115,11 +115,11 @@
             return None;
         }
         let run_time = Duration::try_from_secs_f64(run_s).unwrap_or_default();
-        let work_us = run_time.as_micros() as u64;
+        let micros = run_time.as_micros() as u64;
         let first_arrived = job.place.unwrap_or(job.arrived);
-        let place = Place { first_arrived, due, rank: job.rank, work_us, is_repeat };
+        let place = Place { first_arrived, due, rank: job.rank, run_us: micros, is_repeat };
         self.by_caller.insert(job.caller, place);
-        *self.sums(is_repeat).run_us_by_rank.entry(job.rank).or_default() += work_us;
+        *self.sums(is_repeat).run_us_by_rank.entry(job.rank).or_default() += micros;
         self.expire_at(due + KEPT_AFTER_DUE);
         Some(due)
     }
