--- a/crates/agatecourse-core/tests/dispatcher/main.rs
+++ b/crates/agatecourse-core/tests/dispatcher/main.rs
@@ -2,6 +2,7 @@
 
 mod cold_starts;
 mod decisions;
+mod fair_order;
 mod load_patterns;
 mod prompt_parts;
 mod simulation;
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -8,6 +8,43 @@
 const LATENCY_BUCKETS_S: &[f64] =
     &[0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, 15.0];
 
+/// Metrics of the bytes and sockets that a node holds for others.
+#[derive(Debug, Clone)]
+pub(crate) struct BudgetMetrics {
+    pub(crate) held_bytes: IntGauge,
+    pub(crate) held_bytes_limit: IntGauge,
+    pub(crate) held_bytes_high_water: IntGauge,
+    pub(crate) caller_sockets: IntGauge,
+    pub(crate) target_sockets: IntGauge,
+    pub(crate) refusals: IntCounterVec,
+}
+
+impl BudgetMetrics {
+    fn new(registry: &Registry) -> prometheus::Result<Self> {
+        Ok(Self {
+            held_bytes: gauge(registry, "held_bytes", "Bytes held for callers and targets")?,
+            held_bytes_limit: gauge(
+                registry,
+                "held_bytes_limit",
+                "Most bytes that may be held for callers and targets",
+            )?,
+            held_bytes_high_water: gauge(
+                registry,
+                "held_bytes_high_water",
+                "Most bytes held for callers and targets at a time",
+            )?,
+            caller_sockets: gauge(registry, "caller_sockets", "Connections of callers")?,
+            target_sockets: gauge(registry, "target_sockets", "Connections to targets")?,
+            refusals: counters(
+                registry,
+                "budget_refusals_total",
+                "What was refused or given up for lack of memory or sockets",
+                &["reason"],
+            )?,
+        })
+    }
+}
+
 /// Metrics of a gateway node; `docs/metrics.md` describes each.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -31,6 +68,8 @@
     pub(crate) quarantined_keys: IntGauge,
     pub(crate) evacuated_zones: IntGauge,
     pub(crate) cold_targets: IntGauge,
+    pub(crate) budget: BudgetMetrics,
+    pub(crate) queue_refusals: IntCounterVec,
 }
 
 impl Metrics {
@@ -104,7 +143,7 @@
             quota_refusals: counters(
                 &registry,
                 "quota_refusals_total",
-                "Requests that did not get their part of a quota at once, by whether others of their organisation are less urgent",
+                "Requests that did not get their part of a quota at once, by whether a part was kept for more urgent ones",
                 &["kind"],
             )?,
             quarantined_keys: gauge(
@@ -118,6 +157,13 @@
                 "Zones whose targets get no requests",
             )?,
             cold_targets: gauge(&registry, "cold_targets", "Targets that say that they are cold")?,
+            budget: BudgetMetrics::new(&registry)?,
+            queue_refusals: counters(
+                &registry,
+                "queue_refusals_total",
+                "Requests that a queue refused, by whether the caller has a place when it returns",
+                &["has_place"],
+            )?,
             registry,
         })
     }
