Parse an incomplete head again only after more of it has arrived

A waiting connection woke every 100 ms and parsed its whole head again, up to maxHeaderBytes, without new bytes.

--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -228,8 +228,11 @@
         let idle_since = Instant::now();
         self.slot.wait_for_request(idle_since, self.is_known);
         let mut first_byte = if self.buffer.is_empty() { None } else { Some(idle_since) };
+        let mut has_new_bytes = true;
         loop {
-            match parse_request_head(&self.buffer) {
+            // An incomplete head is parsed again only after more of it has arrived.
+            let parsed = if has_new_bytes { parse_request_head(&self.buffer) } else { Ok(None) };
+            match parsed {
                 Ok(Some((head, length))) if length <= limits.header_bytes => {
                     let _head_bytes = self.buffer.split_to(length);
                     return HeadReadResult::Head(Box::new(head), first_byte.unwrap_or(idle_since));
@@ -273,8 +276,9 @@
                 Ok(Ok(0) | Err(_)) => return HeadReadResult::Closed,
                 Ok(Ok(_)) => {
                     first_byte.get_or_insert_with(Instant::now);
+                    has_new_bytes = true;
                 }
-                Err(_) => {}
+                Err(_) => has_new_bytes = false,
             }
         }
     }
