fix(gateway): a shortage of the node is not charged to its requests, targets or versions

Cause (found by review): with the memory budget full, a request at a target was dropped when its caller sent more; connections were given up for a request that had no room even then; a node without a free socket, or without a target's row, made the queue pause the target; an answer that found no memory counted against the version and took a retry.

Change: the caller's socket is left unread, what still advances or waits is given up only if that makes room enough, attempts without a socket end as unused, and answers without memory have an end of their own. Counters with known labels are served from zero.

--- a/crates/agatecourse-gateway/src/budget/resource_budget.rs
+++ b/crates/agatecourse-gateway/src/budget/resource_budget.rs
@@ -75,6 +75,20 @@
     pub(super) evicted: Notify,
 }
 
+impl SlotState {
+    /// Returns whether a body or an answer may be given up: an answer, whose request has run, only once it has stalled, and a body too if
+    /// `must_have_stalled`.
+    fn may_be_evicted(&self, now: Instant, must_have_stalled: bool) -> bool {
+        match self.phase.get() {
+            Phase::Transferring { is_answer, advanced } => {
+                (!is_answer && !must_have_stalled)
+                    || now.saturating_duration_since(advanced) >= STALL_TIME
+            }
+            Phase::Waiting { .. } | Phase::AtWork => false,
+        }
+    }
+}
+
 /// Order of waiting connections: callers without a known key first, then those that have waited longest.
 type WaitingKey = (bool, Instant, u64);
 /// Order of transferring connections: those that have not advanced for the longest time first.
@@ -242,7 +256,12 @@
         }
         let limit = self.limits.held_bytes / EIGHTHS * byte_use.eighths();
         while self.held_bytes.get() + bytes > limit {
-            if !self.evict_for_bytes(state, byte_use) {
+            // What still advances, or only waits, is not given up if that would make too little room.
+            let excess = self.held_bytes.get() + bytes - limit;
+            let is_evicted = self.evict_stalled(state)
+                || (excess <= self.evictable_bytes(state, byte_use)
+                    && self.evict_for_bytes(state, byte_use));
+            if !is_evicted {
                 self.count_refusal("memory");
                 return Err(BudgetFull);
             }
@@ -278,6 +297,27 @@
         idle.is_some()
     }
 
+    /// Gives up the body or answer that has stalled for the longest time; returns false if there is none.
+    fn evict_stalled(&self, wanting: &SlotState) -> bool {
+        let stalled = self.least_advanced(true, |state| state.number != wanting.number);
+        if let Some(state) = &stalled {
+            self.evict(state, Eviction::Memory);
+        }
+        stalled.is_some()
+    }
+
+    /// Returns the bytes of the connections that [`Self::evict_for_bytes`] may give up.
+    fn evictable_bytes(&self, wanting: &SlotState, byte_use: ByteUse) -> usize {
+        let now = Instant::now();
+        let others = |state: &&Rc<SlotState>| state.number != wanting.number;
+        let transferring = self.transferring.borrow();
+        let waiting = self.waiting.borrow();
+        let transfers = transferring.values().filter(others);
+        let may_evict = |state: &&Rc<SlotState>| state.may_be_evicted(now, byte_use.is_large());
+        let idle = waiting.values().filter(others).filter(|_| !byte_use.is_large());
+        transfers.filter(may_evict).chain(idle).map(|state| state.held_bytes.get()).sum()
+    }
+
     /// Gives up the connection that has waited longest without a request, or else the one that has not advanced for the longest time;
     /// returns false if there is none.
     fn evict_for_socket(&self) -> bool {
@@ -299,14 +339,7 @@
         let now = Instant::now();
         let transferring = self.transferring.borrow();
         let mut eligible = transferring.values().filter(|state| is_eligible(state));
-        let found = eligible.find(|state| match state.phase.get() {
-            Phase::Transferring { is_answer, advanced } => {
-                (!is_answer && !must_have_stalled)
-                    || now.saturating_duration_since(advanced) >= STALL_TIME
-            }
-            Phase::Waiting { .. } | Phase::AtWork => false,
-        });
-        found.cloned()
+        eligible.find(|state| state.may_be_evicted(now, must_have_stalled)).cloned()
     }
 
     /// Ends what is held for a connection. Its bytes, and its socket if that is needed, count as given back at once; its task gives them up
--- a/crates/agatecourse-gateway/src/budget/tests.rs
+++ b/crates/agatecourse-gateway/src/budget/tests.rs
@@ -238,3 +238,20 @@
         prop_assert_eq!(budget.sockets(), (0, 0));
     }
 }
+
+/// Guards against connections that are given up for a request which has no room even then, because most bytes belong to requests at work.
+#[gtest]
+fn nothing_is_given_up_for_a_request_that_has_no_room_in_any_case() {
+    let budget = budget_of(160, 4_100);
+    let (uploading, _bytes) = upload(&budget, 1_000, Duration::ZERO);
+    let idle = accept(&budget);
+    idle.wait_for_request(Instant::now(), true);
+    let busy = accept(&budget);
+    busy.begin_work();
+    let held = busy.hold();
+    let limit = budget.limits().held_bytes;
+    held.resize(limit / 8 * 8 - budget.held_bytes(), answer(1)).expect("answers may use all of it");
+    expect_that!(budget.accept_caller(Instant::now()).is_none(), eq(true));
+    expect_that!(uploading.eviction(), none());
+    expect_that!(idle.eviction(), none());
+}
--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -403,7 +403,8 @@
         }
         let byte_use = ByteUse::Request { total_bytes: buffer.len() };
         if held.resize(buffer.capacity(), byte_use).is_err() {
-            return;
+            // The request at work goes on; what its caller sends next is left in the socket.
+            std::future::pending::<()>().await;
         }
     }
 }
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -140,11 +140,11 @@
                 "queue_owner_changes_total",
                 "Changes of the owner of a queue",
             )?,
-            quota_refusals: counters(
+            quota_refusals: counters_from_zero(
                 &registry,
                 "quota_refusals_total",
                 "Requests that did not get their part of a quota at once, by whether a part was kept for more urgent ones",
-                &["kind"],
+                ("kind", &["limit", "reserved"]),
             )?,
             quarantined_keys: gauge(
                 &registry,
@@ -158,11 +158,11 @@
             )?,
             cold_targets: gauge(&registry, "cold_targets", "Targets that say that they are cold")?,
             budget: BudgetMetrics::new(&registry)?,
-            queue_refusals: counters(
+            queue_refusals: counters_from_zero(
                 &registry,
                 "queue_refusals_total",
                 "Requests that a queue refused, by whether the caller has a place when it returns",
-                &["has_place"],
+                ("has_place", &["yes", "no"]),
             )?,
             registry,
         })
@@ -193,6 +193,20 @@
     Ok(metric)
 }
 
+/// Creates counters with one label, which show zero for each of its values from the start.
+fn counters_from_zero(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    (label, values): (&str, &[&str]),
+) -> prometheus::Result<IntCounterVec> {
+    let metric = counters(registry, name, help, &[label])?;
+    for value in values {
+        metric.with_label_values(&[*value]).inc_by(0);
+    }
+    Ok(metric)
+}
+
 fn counter(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntCounter> {
     let metric = IntCounter::with_opts(options(name, help))?;
     registry.register(Box::new(metric.clone()))?;
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -18,6 +18,8 @@
 pub(crate) enum AttemptEnd {
     /// No byte of the request was sent.
     NotSent { reason: String },
+    /// No byte of the request was sent, because this node has no socket for a connection to the target.
+    NoSocket,
     /// No byte of the request was sent, because the target leaves or has asked this node for a pause since it was granted.
     Closed { closure: Closure },
     /// The target states that it did not run the request.
@@ -30,6 +32,8 @@
     Stream { head: ResponseHead, connection: TargetConnection },
     /// The request was sent, but no complete, valid response was received.
     Lost { reason: String },
+    /// The request was sent, and this node has no memory for the response.
+    NoMemory { reason: String },
 }
 
 /// Sends a request to a target and reads the complete response, or only the head of a stream.
@@ -48,10 +52,13 @@
         has_id.then(|| gateway.pool.borrow_mut().take(&target.id, Instant::now())).flatten();
     let mut connection = match pooled {
         Some(connection) => connection,
-        None => match open_connection(gateway, target).await {
-            Ok(connection) => connection,
-            Err(reason) => return AttemptEnd::NotSent { reason },
-        },
+        None => {
+            let Some(permit) = gateway.open_target_socket() else { return AttemptEnd::NoSocket };
+            match TargetConnection::connect(target.address, permit).await {
+                Ok(connection) => connection,
+                Err(error) => return AttemptEnd::NotSent { reason: error.to_string() },
+            }
+        }
     };
     // The target may have closed to this node since the grant, while a connection was opened.
     if let Some(closure) = gateway.target_closure(target) {
@@ -108,16 +115,17 @@
     }
     match read_complete_body(gateway, request, target, connection, &head).await {
         Ok(body) => AttemptEnd::Complete { head, body },
-        Err(reason) => AttemptEnd::Lost { reason },
+        Err(BodyError::Lost(reason)) => AttemptEnd::Lost { reason },
+        Err(BodyError::NoMemory(reason)) => AttemptEnd::NoMemory { reason },
     }
 }
 
-/// Opens a connection to a target; returns the reason when that fails.
-async fn open_connection(gateway: &Gateway, target: &Target) -> Result<TargetConnection, String> {
-    let Some(permit) = gateway.open_target_socket() else {
-        return Err("all sockets are in use".to_string());
-    };
-    TargetConnection::connect(target.address, permit).await.map_err(|error| error.to_string())
+/// Reason why a response body was not read to its end.
+enum BodyError {
+    /// The target or its connection failed.
+    Lost(String),
+    /// This node has no memory for the body.
+    NoMemory(String),
 }
 
 /// Sends the request and reads the response head, which may arrive before the request is completely sent.
@@ -166,23 +174,23 @@
     target: &Target,
     mut connection: TargetConnection,
     head: &ResponseHead,
-) -> Result<Vec<u8>, String> {
+) -> Result<Vec<u8>, BodyError> {
     let (mut reader, mut body) = (BodyReader::new(head.framing), Vec::new());
     let body_bytes = request.held.slot().hold();
     while !reader.is_done() {
         reader
             .read(&mut connection.stream, &mut connection.buffer, &mut body)
             .await
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| BodyError::Lost(error.to_string()))?;
         if body.len() > MAX_RESPONSE_BYTES {
-            return Err(format!("answer exceeds {MAX_RESPONSE_BYTES} bytes"));
+            return Err(BodyError::Lost(format!("answer exceeds {MAX_RESPONSE_BYTES} bytes")));
         }
         body_bytes
             .resize(body.capacity(), ByteUse::Answer { total_bytes: body.len() })
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| BodyError::NoMemory(error.to_string()))?;
     }
     if head.framing == BodyFraming::UntilClose && !still_runs(gateway, target).await {
-        return Err("target ended with the connection".to_string());
+        return Err(BodyError::Lost("target ended with the connection".to_string()));
     }
     return_to_pool(gateway, target, connection, head);
     request.held.absorb(&body_bytes);
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -229,7 +229,7 @@
             self.granted_after.get_or_insert(waited);
             self.gateway.metrics.wait_seconds.observe(waited.as_secs_f64());
             let Some(target) = self.gateway.target(&target) else {
-                guard.end(RunEnd::Unreachable);
+                guard.end(RunEnd::Unused);
                 self.unsent_attempts += 1;
                 self.failed_targets.push(target);
                 if self.unsent_attempts >= MAX_UNSENT_ATTEMPTS {
@@ -491,11 +491,17 @@
             }
             AttemptEnd::NotSent { reason } => {
                 guard.end(RunEnd::Unreachable);
-                if self.unsent_attempts < MAX_UNSENT_ATTEMPTS {
-                    return NextStep::Retry;
-                }
+                self.retry_unsent(&reason)
+            }
+            AttemptEnd::NoSocket => {
+                // The target is sound, so the queue must not pause it.
+                guard.end(RunEnd::Unused);
+                self.retry_unsent("all sockets are in use")
+            }
+            AttemptEnd::NoMemory { reason } => {
+                guard.end(RunEnd::Abandoned);
                 NextStep::Reply(self.not_placed_reply(
-                    ResultCode::NoTarget,
+                    ResultCode::OutcomeUnknown,
                     PLACEMENT_RETRY,
                     &reason,
                 ))
@@ -539,6 +545,14 @@
         }
     }
 
+    /// Decides whether an attempt of which no byte was sent is followed by another.
+    fn retry_unsent(&mut self, reason: &str) -> NextStep {
+        if self.unsent_attempts < MAX_UNSENT_ATTEMPTS {
+            return NextStep::Retry;
+        }
+        NextStep::Reply(self.not_placed_reply(ResultCode::NoTarget, PLACEMENT_RETRY, reason))
+    }
+
     /// Relays a stream to the caller; if it breaks, retries when the route and the retry budget allow it.
     async fn relay_stream(
         &mut self,
@@ -589,8 +603,11 @@
                 RelayEnd::Complete
             };
         }
-        if !matches!(end, RelayEnd::CallerDisconnected) {
-            self.end_evidence(Some(!matches!(end, RelayEnd::Complete)));
+        match end {
+            RelayEnd::CallerDisconnected => {}
+            // A shortage of this node says nothing about the version of the target.
+            RelayEnd::MemoryFull { .. } => self.end_evidence(None),
+            _ => self.end_evidence(Some(!matches!(end, RelayEnd::Complete))),
         }
         if let Some(first) = self.relay.first_event {
             let elapsed = first.saturating_duration_since(self.request.arrived);
--- a/crates/agatecourse-gateway/src/request/process_request/request_log.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/request_log.rs
@@ -19,6 +19,8 @@
             AttemptEnd::NotRun { status } => ("not run", format!("status {status}")),
             AttemptEnd::WrongTarget => ("not run", "address belongs to another target".to_string()),
             AttemptEnd::Lost { reason } => ("lost", reason.clone()),
+            AttemptEnd::NoSocket => ("not sent", "all sockets are in use".to_string()),
+            AttemptEnd::NoMemory { reason } => ("no memory", reason.clone()),
         };
         let gateway = self.gateway;
         gateway.metrics.attempts.with_label_values(&[self.admitted.service.as_str(), name]).inc();
