--- a/crates/agatecourse-gateway/src/process/gateway_versions.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_versions.rs
@@ -37,7 +37,10 @@
     pub fn rollout_outcomes(&self, now: Instant) -> Vec<RolloutOutcome> {
         let targets = self.targets.borrow();
         let has_targets = |service: &ServiceId, version: &VersionId| {
-            targets.values().any(|target| target.service == *service && target.version == *version)
+            targets
+                .values()
+                .filter(|target| !self.is_evacuated(&target.zone))
+                .any(|target| target.service == *service && target.version == *version)
         };
         let outcomes = self.rollouts.borrow_mut().decide(now, has_targets);
         outcomes
@@ -56,7 +59,9 @@
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(version) = rollouts.new_version(service) else { return Default::default() };
         let targets = self.targets.borrow();
-        let mut of_service = targets.values().filter(|target| target.service == *service);
+        let mut of_service = targets
+            .values()
+            .filter(|target| target.service == *service && !self.is_evacuated(&target.zone));
         let has_new = of_service.clone().any(|target| target.version == *version);
         if has_new && of_service.all(|target| target.version == *version) {
             // All targets run the new version, so there is no other version to use instead.
