fix(dispatch): attempts beyond a full status stay in the queue; no place before a pause ends

Cause (found by review and by target_signals): the owner dropped a node's waiting attempts above the 60 that fit its status, with the places of their callers, and freed the slots of runs above 60. A caller was promised a place at a time when all targets had asked for a pause. An attempt could overtake for a target in its zone that it may not use.

Change: a full list says nothing about higher numbers; a place needs a target that takes requests by then; an attempt overtakes only if it stays in its zone.

--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -246,6 +246,23 @@
         self.assign_free_slots(now, decisions);
     }
 
+    /// Returns the attempts of a node that a status doesn't list because it is too short for them: those that wait above the number
+    /// `waiting_above` and those that run above `running_above`, `None` for a list that is complete.
+    pub fn unlisted_numbers(
+        &self,
+        node: &NodeId,
+        waiting_above: Option<JobNumber>,
+        running_above: Option<JobNumber>,
+    ) -> Vec<JobNumber> {
+        let is_above = |key: &JobKey, above: Option<JobNumber>| {
+            key.node == *node && above.is_some_and(|last| key.number > last)
+        };
+        let waiting =
+            self.queue.iter().map(|job| &job.key).filter(|key| is_above(key, waiting_above));
+        let running = self.run_targets.keys().filter(|key| is_above(key, running_above));
+        waiting.chain(running).map(|key| key.number).collect()
+    }
+
     /// Removes the runs of a node from the index that its targets do not have any more.
     fn forget_missing_runs(&mut self, node: &NodeId) {
         let targets = &self.targets;
@@ -479,6 +496,9 @@
             .filter(|job| ZoneSpill::may_overtake(now, first, job))
             .filter(|job| !unplaced.contains(&job.key) && !self.is_held(now, job))
             .find(|job| free_zones.contains(&job.zone.as_str()))
+            .filter(|job| {
+                self.choose_target(now, job).is_some_and(|(_, is_home_full)| !is_home_full)
+            })
             .unwrap_or(first)
     }
 
@@ -743,7 +763,8 @@
         let left_s = job.deadline.saturating_duration_since(now).as_secs_f64();
         let room_s = wait_s + self.places.promised_s(job.rank) / capacity;
         let delay_s = room_s.min(left_s * RETURN_TIME_RATIO);
-        if delay_s + run_s > left_s {
+        // No target takes requests of the caller's node before a pause ends, so a place until then would be empty.
+        if delay_s + run_s > left_s || delay_s < self.pause_s(now, &job.key.node) {
             return None;
         }
         let delay = wait_from_s(delay_s).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
--- a/crates/agatecourse-core/src/request/dispatch/zone_spill.rs
+++ b/crates/agatecourse-core/src/request/dispatch/zone_spill.rs
@@ -15,7 +15,7 @@
 /// Part of the time from arrival to objective by which an attempt may have arrived earlier than one that gets a target before it. The users
 /// want callers of a busy zone to wait at most a tenth longer than others.
 const OVERTAKING_SHARE: f64 = 0.05;
-/// Attempts after the first of a queue among which one of the zone of a free target is looked for.
+/// Attempts after the first of a rank and organisation among which one of the zone of a free target is looked for.
 pub(super) const LOOK_AHEAD: usize = 24;
 
 /// Runs of a queue by the availability zones of caller and target.
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -449,18 +449,17 @@
         running: &[(JobNumber, TargetId)],
         actions: &mut Vec<CoordinatorAction>,
     ) {
-        let numbers: BTreeSet<JobNumber> =
+        let mut numbers: BTreeSet<JobNumber> =
             waiting.iter().copied().chain(running.iter().map(|(number, _)| *number)).collect();
         let mut decisions = Vec::new();
         let settled_before = now.checked_sub(MIN_RECONCILE_AGE).unwrap_or(now);
-        self.dispatcher(now, from, queue).reconcile(
-            now,
-            from,
-            &numbers,
-            running,
-            settled_before,
-            &mut decisions,
-        );
+        // A full list ends with the highest number that had room in it; it says nothing about higher ones.
+        let waiting_above = waiting.last().copied().filter(|_| waiting.len() >= STATUS_LIMIT);
+        let running_above =
+            running.last().map(|(number, _)| *number).filter(|_| running.len() >= STATUS_LIMIT);
+        let dispatcher = self.dispatcher(now, from, queue);
+        numbers.extend(dispatcher.unlisted_numbers(from, waiting_above, running_above));
+        dispatcher.reconcile(now, from, &numbers, running, settled_before, &mut decisions);
         self.send_decisions(now, decisions, actions);
     }
 
--- a/crates/agatecourse-gateway/tests/coordinator.rs
+++ b/crates/agatecourse-gateway/tests/coordinator.rs
@@ -248,6 +248,34 @@
     }
 }
 
+/// Guards against an owner that drops the attempts of a node which don't fit its status, and with them their places in the queue.
+#[gtest]
+fn attempts_beyond_a_full_status_stay_in_the_queue() {
+    let mut cluster = Cluster::new(3, 1);
+    let owner = cluster.owner();
+    let caller =
+        (0..3).map(|index| format!("node-{index}")).find(|name| *name != owner).unwrap_or_default();
+    for number in 100..200 {
+        cluster.submit(&caller, number);
+    }
+    cluster.advance(Duration::from_millis(240));
+    let waiting =
+        |cluster: &Cluster| cluster.nodes[&owner].snapshot().values().map(|it| it.waiting).sum();
+    let before: usize = waiting(&cluster);
+    expect_that!(before, gt(60));
+    // Statuses arrive, and no submission is repeated that could bring attempts back.
+    cluster.call(&caller, |node, now, actions| {
+        node.on_timer(now + Duration::from_millis(400), actions);
+        actions.retain(|action| match action {
+            CoordinatorAction::Send { message, .. } => {
+                !matches!(message, PeerMessage::Submit { .. })
+            }
+            _ => true,
+        });
+    });
+    expect_that!(waiting(&cluster), eq(before));
+}
+
 /// Guards against slots that are never freed after the node that uses them has died.
 #[gtest]
 fn slots_of_a_dead_node_are_freed() {
