fix(quota): reserve what urgent requests are expected to need, without a further eighth

Cause: the reserve took the larger of two forecasts and added an eighth, so that cheap requests were refused while a part of the quota stayed unused. After a gap of 4 to 15 s a peer's unlisted use counted as none, and growth that it had not listed was forgotten when it ended (found by review).

Change: the mean of the use in the window and the extrapolation of its newest quarter, and two standard deviations as before. A peer is known for the time since the last gap in its heartbeats; unlisted growth counts for ended processes.

--- a/crates/agatecourse-core/src/request/quota_reserve.rs
+++ b/crates/agatecourse-core/src/request/quota_reserve.rs
@@ -8,8 +8,6 @@
 const BUCKET: Duration = Duration::from_millis(250);
 /// Part of a window from which the newest demand is extrapolated, so that a rise shows before a window has passed.
 const RECENT_DIVISOR: u32 = 4;
-/// Divisor of the demand of urgent ranks that gives an addition to their reserve, as the demand grows between windows.
-const MARGIN_DIVISOR: u64 = 8;
 /// Age from which a peer's report is not used; several heartbeat periods of a large deployment.
 const STALE_AFTER: Duration = Duration::from_secs(3);
 /// Maximum number of ranks in a report, the most urgent ones; more of them are one.
@@ -86,7 +84,7 @@
 
     /// Returns the amount that is expected to be asked for in a window. It is meant for the sum over all nodes, as the newest demand of one node varies much.
     fn expected(&self) -> u64 {
-        self.asked.max(self.asked_recently * u64::from(RECENT_DIVISOR))
+        u64::midpoint(self.asked, self.asked_recently * u64::from(RECENT_DIVISOR))
     }
 
     /// Returns what random arrivals may add to the expected amount in a window: two standard deviations of the sum of as many requests.
@@ -164,7 +162,7 @@
             }
         }
         RankTerms {
-            urgent: above.expected() + above.expected() / MARGIN_DIVISOR,
+            urgent: above.expected(),
             spread: above.spread(),
             expected: self.knows_demand(now).then(|| own_and_above.expected()),
             reporting_nodes: self.peers.len() + 1,
--- a/crates/agatecourse-core/src/request/quota_window.rs
+++ b/crates/agatecourse-core/src/request/quota_window.rs
@@ -89,8 +89,9 @@
 
 impl EndedUse {
     fn new(peer: &PeerUse, width: Duration) -> Self {
-        let used_since = peer.used.saturating_sub(peer.used_at_first);
-        Self { until: peer.reported_at + width, used: peer.used, used_since }
+        let used = peer.used + peer.unlisted_growth;
+        let used_since = used.saturating_sub(peer.used_at_first);
+        Self { until: peer.reported_at + width, used, used_since }
     }
 }
 
--- a/crates/agatecourse-gateway/src/process/members.rs
+++ b/crates/agatecourse-gateway/src/process/members.rs
@@ -15,6 +15,8 @@
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
 /// Addition to the heartbeat period per known node; bounds the number of heartbeats that a node sends per second.
 const HEARTBEAT_PERIOD_PER_NODE: Duration = Duration::from_millis(3);
+/// Gap between two heartbeats of a node from which on this node may have missed what they listed; a few periods of a large deployment.
+const MAX_LISTING_GAP: Duration = Duration::from_secs(4);
 /// Nodes up to which each one follows the source of documents itself.
 const MAX_NODES_WITHOUT_RELAYS: usize = 32;
 /// Nodes that follow the source for all in a larger deployment.
@@ -40,6 +42,8 @@
     address: Ipv4Addr,
     last_heartbeat: Option<Instant>,
     added: Instant,
+    /// Start of the time in which heartbeats have arrived without a long gap.
+    heard_since: Instant,
     started_unix_ms: u64,
     is_stopping: bool,
     capacity: NodeCapacity,
@@ -127,6 +131,7 @@
             address,
             last_heartbeat: None,
             added: now,
+            heard_since: now,
             started_unix_ms: 0,
             is_stopping: false,
             capacity: NodeCapacity::default(),
@@ -145,11 +150,11 @@
         self.add(now, node, address);
     }
 
-    /// Returns the time for which a node has been known without a break; zero for an unknown one.
+    /// Returns the time for which a node has been heard without a long gap, so that none of its lists was missed; zero for an unknown one.
     pub fn known_for(&self, now: Instant, node: &NodeId) -> Duration {
         self.known
             .get(node)
-            .map_or(Duration::ZERO, |member| now.saturating_duration_since(member.added))
+            .map_or(Duration::ZERO, |member| now.saturating_duration_since(member.heard_since))
     }
 
     /// Returns whether a node is lost.
@@ -176,10 +181,14 @@
         let Some(member) = self.known.get_mut(node) else { return false };
         let known_start = lost.map_or(member.started_unix_ms, |lost| lost.started_unix_ms);
         let is_new = known_start != heartbeat.started_unix_ms;
+        let has_gap = member
+            .last_heartbeat
+            .is_none_or(|time| now.saturating_duration_since(time) > MAX_LISTING_GAP);
         *member = Member {
             address,
             last_heartbeat: Some(now),
             added: member.added,
+            heard_since: if has_gap || is_new { now } else { member.heard_since },
             started_unix_ms: heartbeat.started_unix_ms,
             is_stopping: heartbeat.is_stopping,
             capacity: heartbeat.capacity,
@@ -366,6 +375,7 @@
                 && now.saturating_duration_since(last_heartbeat) < suspect_after + pause
             {
                 member.last_heartbeat = Some(now);
+                member.heard_since = now;
             }
         }
     }
