--- a/crates/agatecourse-gateway/src/budget/resource_budget.rs
+++ b/crates/agatecourse-gateway/src/budget/resource_budget.rs
@@ -311,10 +311,10 @@
         let now = Instant::now();
         let others = |state: &&Rc<SlotState>| state.number != wanting.number;
         let transferring = self.transferring.borrow();
-        let waiting = self.waiting.borrow();
+        let idle_slots = self.waiting.borrow();
         let transfers = transferring.values().filter(others);
         let may_evict = |state: &&Rc<SlotState>| state.may_be_evicted(now, byte_use.is_large());
-        let idle = waiting.values().filter(others).filter(|_| !byte_use.is_large());
+        let idle = idle_slots.values().filter(others).filter(|_| !byte_use.is_large());
         transfers.filter(may_evict).chain(idle).map(|state| state.held_bytes.get()).sum()
     }
 
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -50,14 +50,13 @@
     let has_id = request.id(&gateway.header_names).is_some();
     let pooled =
         has_id.then(|| gateway.pool.borrow_mut().take(&target.id, Instant::now())).flatten();
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => {
-            let Some(permit) = gateway.open_target_socket() else { return AttemptEnd::NoSocket };
-            match TargetConnection::connect(target.address, permit).await {
-                Ok(connection) => connection,
-                Err(error) => return AttemptEnd::NotSent { reason: error.to_string() },
-            }
+    let mut connection = if let Some(connection) = pooled {
+        connection
+    } else {
+        let Some(permit) = gateway.open_target_socket() else { return AttemptEnd::NoSocket };
+        match TargetConnection::connect(target.address, permit).await {
+            Ok(connection) => connection,
+            Err(error) => return AttemptEnd::NotSent { reason: error.to_string() },
         }
     };
     // The target may have closed to this node since the grant, while a connection was opened.
