Cold targets, evacuated zones and home regions

Nothing in the node knew of targets that bear few requests after their start, of zones that the operator evacuates, or of routes and organisations with home regions.

The owner of a queue grants requests to a cold target at the rate that its service names, with a bucket of one request and so low that two owners together stay below the bound. A target that was out of reach, and one in a zone that was taken back, is taken for a cold one. Nodes leave evacuated zones out of their queues and check the zone once more before they send. Home regions go with the attempt to the owner of the queue, and the sending node checks them too.

--- a/crates/agatecourse-core/benches/dispatch.rs
+++ b/crates/agatecourse-core/benches/dispatch.rs
@@ -65,6 +65,7 @@
             version: String::new(),
             avoided_version: String::new(),
             suspects: SmallVec::new(),
+            home_zones: SmallVec::new(),
         };
         let mut decisions = Vec::new();
         self.dispatcher.submit(self.now, job, &mut decisions);
--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -1,5 +1,6 @@
+use super::cold_start::ColdStarts;
 use super::dispatch_queue::DispatchQueue;
-use super::offered_load::OfferedLoad;
+use super::offered_load::{OFFER_WINDOW, OfferedLoad};
 use super::prefix_index::{PrefixIndex, TargetNumber};
 use super::served_shares::ServedShares;
 use super::service_profile::ServiceProfile;
@@ -61,6 +62,9 @@
     shares: ServedShares,
     offers: OfferedLoad,
     prefixes: PrefixIndex,
+    cold_starts: ColdStarts,
+    /// Time at which a target first answered.
+    first_answer: Option<Instant>,
     /// Target of each run.
     run_targets: HashMap<JobKey, TargetId>,
     /// Number of the next target or process.
@@ -105,9 +109,25 @@
                 }
             }
         }
+        self.update_cold_targets(now);
         self.assign_free_slots(now, decisions);
     }
 
+    /// Replaces what is known of cold targets; call it before targets are set that may be cold.
+    pub fn set_cold_starts(&mut self, now: Instant, cold_starts: ColdStarts) {
+        if self.cold_starts != cold_starts {
+            self.cold_starts = cold_starts;
+            self.update_cold_targets(now);
+        }
+    }
+
+    fn update_cold_targets(&mut self, now: Instant) {
+        for view in self.targets.values_mut() {
+            view.cold.update(now, &self.cold_starts, &view.spec.id);
+        }
+        self.update_usual_rate(now);
+    }
+
     /// Adds an attempt, or repeats the decision when the attempt already has a target.
     pub fn submit(&mut self, now: Instant, job: Job, decisions: &mut Vec<Decision>) {
         if let Some(target) = self.target_of(&job.key) {
@@ -141,6 +161,7 @@
             && let Some(run) = view.runs.remove(key)
         {
             if report.end == RunEnd::Answered {
+                self.first_answer.get_or_insert(now);
                 let slowness = view.slowness;
                 view.learn_slowness(run.expected_s, report.elapsed);
                 self.profile.learn(run.kind, run.relative_size, slowness, report.elapsed);
@@ -276,10 +297,27 @@
 
     /// Assigns free slots and refuses attempts that can no longer be served in time.
     pub fn on_timer(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
+        self.update_usual_rate(now);
         self.assign_free_slots(now, decisions);
         self.refuse_late_jobs(now, None, decisions);
     }
 
+    /// Tells the limits of cold targets how many requests a target of mean speed takes in a second.
+    fn update_usual_rate(&mut self, now: Instant) {
+        if self.cold_starts.rules.is_none() {
+            return;
+        }
+        // Until then the mean run time holds estimates from before the first answer.
+        let has_learned =
+            self.first_answer.is_some_and(|at| now.saturating_duration_since(at) > OFFER_WINDOW);
+        self.offers.expire(now);
+        let mean_run_s = self.offers.mean_run_s().max(f64::MIN_POSITIVE);
+        for view in self.targets.values_mut() {
+            let per_s = f64::from(view.spec.slots) / mean_run_s;
+            view.cold.set_usual_rate(if has_learned { per_s } else { f64::INFINITY });
+        }
+    }
+
     /// Returns the time at which a pause of a target ends while attempts wait.
     pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
         if self.queue.len() == 0 {
@@ -376,10 +414,13 @@
             / self.targets.len().max(1) as f64;
         let kept_tokens = self.prefixes.kept_tokens(now, &job.prompt_parts);
         let prompt_tokens: u32 = job.prompt_parts.iter().map(|part| part.tokens).sum();
+        let relative_run = self.profile.expected_s(job.kind, job.relative_size)
+            / self.offers.mean_run_s().max(f64::MIN_POSITIVE);
         let score = |view: &TargetView| {
             let load = view.runs.len() as f64 / f64::from(view.spec.slots.max(1));
             let mut score = view.slowness * (1.0 + 0.5 * load);
             score += FAILURE_PENALTY * (view.failure_share - mean_failure).max(0.0);
+            score += view.cold.score(now, relative_run);
             if view.spec.zone != job.zone {
                 score += OTHER_ZONE_PENALTY;
             }
@@ -406,6 +447,7 @@
             .filter(|view| view.free_slots(now) > 0 && !job.excluded.contains(&view.spec.id))
             .filter(|view| view.node_pause_end(now, &job.key.node).is_none())
             .filter(|view| job.version.is_empty() || view.spec.version == job.version)
+            .filter(|view| job.home_zones.is_empty() || job.home_zones.contains(&view.spec.zone))
             .filter(|view| {
                 job.avoided_version.is_empty() || view.spec.version != job.avoided_version
             })
--- a/crates/agatecourse-core/src/request/dispatch/job.rs
+++ b/crates/agatecourse-core/src/request/dispatch/job.rs
@@ -1,6 +1,6 @@
 use super::PromptParts;
 use crate::request::SuspectKey;
-use agatecourse_types::{NodeId, TargetId, VersionId};
+use agatecourse_types::{NodeId, TargetId, VersionId, ZoneId};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::time::{Duration, Instant};
@@ -50,6 +50,8 @@
     pub avoided_version: VersionId,
     /// Keys of the request that may have crashed targets; requests that share one run one after the other.
     pub suspects: SmallVec<[SuspectKey; 2]>,
+    /// Availability zones of which the target must be in one; empty for any.
+    pub home_zones: SmallVec<[ZoneId; 2]>,
 }
 
 /// Decision of the dispatcher about an attempt.
--- a/crates/agatecourse-core/src/request/dispatch/mod.rs
+++ b/crates/agatecourse-core/src/request/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! runs, and decides which request goes to which target, which waits, and which is refused with a retry delay. It performs
 //! no I/O and reads no clock.
 
+mod cold_start;
 mod dispatch_queue;
 mod dispatcher;
 mod job;
@@ -15,6 +16,7 @@
 mod target_signals;
 mod target_view;
 
+pub use cold_start::{ColdRules, ColdStarts};
 pub use dispatcher::{Dispatcher, DispatcherSnapshot};
 pub use job::{Decision, Job, JobKey, JobNumber};
 pub use prefix_index::{PromptPart, PromptParts};
--- a/crates/agatecourse-core/src/request/dispatch/offered_load.rs
+++ b/crates/agatecourse-core/src/request/dispatch/offered_load.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 /// Window over which the rate of arriving work is measured; about the time in which a burst reaches its peak.
-const OFFER_WINDOW: Duration = Duration::from_secs(1);
+pub(super) const OFFER_WINDOW: Duration = Duration::from_secs(1);
 
 /// Expected run time of a submitted attempt, in microseconds, because sums of integers do not drift.
 #[derive(Debug, Clone, Copy)]
--- a/crates/agatecourse-core/src/request/dispatch/target_signals.rs
+++ b/crates/agatecourse-core/src/request/dispatch/target_signals.rs
@@ -53,6 +53,8 @@
     Leaving,
     /// The target has asked this node for a pause until this time.
     Paused(Instant),
+    /// The operator has evacuated the target's zone.
+    Evacuated,
 }
 
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/agatecourse-core/src/request/dispatch/target_view.rs
+++ b/crates/agatecourse-core/src/request/dispatch/target_view.rs
@@ -1,3 +1,4 @@
+use super::cold_start::ColdLimiter;
 use super::prefix_index::TargetNumber;
 use super::{JobKey, NamedLimit, RunEnd, RunReport};
 use crate::request::{SuspectKey, TokenBucket};
@@ -85,6 +86,8 @@
     limit: Option<NamedLimit>,
     /// Enforces the limit; `None` while there is none.
     bucket: Option<TokenBucket>,
+    /// Keeps the requests below what the target takes while it is cold.
+    pub(super) cold: ColdLimiter,
     /// True once the target has told a node that it leaves.
     is_leaving: bool,
     /// Nodes that the target has asked for a pause, with its end.
@@ -104,16 +107,19 @@
             number,
             limit: None,
             bucket: None,
+            cold: ColdLimiter::default(),
             is_leaving: false,
             paused_nodes: BTreeMap::new(),
         }
     }
 
-    /// Returns how many more requests the target may get now; 0 while it is paused or at the limit that it has named.
+    /// Returns how many more requests the target may get now; 0 while it is paused, at the limit that it has named, or at that of a cold
+    /// target.
     pub(super) fn free_slots(&self, now: Instant) -> u32 {
         if self.is_leaving
             || self.paused_until.is_some_and(|until| now < until)
             || self.bucket.is_some_and(|bucket| bucket.available(now) < 1.0)
+            || !self.cold.has_room(now)
         {
             return 0;
         }
@@ -164,8 +170,9 @@
         !self.is_leaving
     }
 
-    /// Counts a request against the target's limit.
+    /// Counts a request against the target's limits.
     pub(super) fn take_token(&mut self, now: Instant) {
+        self.cold.take(now);
         if let Some(bucket) = &mut self.bucket {
             bucket.take(now);
         }
@@ -179,7 +186,7 @@
         }
         let by_slots = f64::from(self.spec.slots) / self.slowness.max(0.1);
         let by_limit = self.bucket.map_or(f64::INFINITY, |bucket| bucket.rate_per_s() * mean_run_s);
-        by_slots.min(by_limit)
+        by_slots.min(by_limit).min(self.cold.rate_per_s(now) * mean_run_s)
     }
 
     /// Returns whether a request on the target may crash it.
@@ -205,6 +212,9 @@
         let is_quick = report.elapsed < QUICK_FAILURE;
         let added = match report.end {
             RunEnd::Answered => {
+                if !self.is_reachable() {
+                    self.cold.suspect_restart(now);
+                }
                 self.pause = Duration::ZERO;
                 self.paused_until = None;
                 self.failures_in_a_row = 0;
@@ -216,6 +226,7 @@
             RunEnd::Failed | RunEnd::Broken => 0,
             RunEnd::Unreachable => MAX_FAILURES_IN_A_ROW,
             RunEnd::Unused => {
+                self.cold.refund();
                 if let Some(bucket) = &mut self.bucket {
                     bucket.refund();
                 }
--- a/crates/agatecourse-core/tests/crashing_parts.rs
+++ b/crates/agatecourse-core/tests/crashing_parts.rs
@@ -251,6 +251,7 @@
             version: String::new(),
             avoided_version: String::new(),
             suspects,
+            home_zones: SmallVec::new(),
         };
         self.decide(|dispatcher, now, decisions| dispatcher.submit(now, job, decisions));
     }
--- a/crates/agatecourse-core/tests/dispatcher/main.rs
+++ b/crates/agatecourse-core/tests/dispatcher/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher in virtual time.
 
+mod cold_starts;
 mod decisions;
 mod load_patterns;
 mod prompt_parts;
--- a/crates/agatecourse-core/tests/dispatcher/simulation.rs
+++ b/crates/agatecourse-core/tests/dispatcher/simulation.rs
@@ -214,6 +214,7 @@
         version: String::new(),
         avoided_version: String::new(),
         suspects: SmallVec::new(),
+        home_zones: SmallVec::new(),
     }
 }
 
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -6,8 +6,8 @@
 use super::{NodeCapacity, PeerMessage, WireJob};
 use agatecourse_core::request::SuspectKey;
 use agatecourse_core::request::dispatch::{
-    Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber, RunEnd,
-    RunReport, TargetSignals,
+    ColdStarts, Decision, DispatchTarget, Dispatcher, DispatcherSnapshot, Job, JobKey, JobNumber,
+    RunEnd, RunReport, TargetSignals,
 };
 use agatecourse_types::{NodeId, TargetId, rendezvous_owner, stable_hash};
 pub use coordinator_action::CoordinatorAction;
@@ -78,6 +78,7 @@
     last_status: BTreeMap<String, (NodeId, Instant)>,
     owners: BTreeMap<String, NodeId>,
     signals: TargetSignals,
+    cold_starts: BTreeMap<String, ColdStarts>,
 }
 
 impl Coordinator {
@@ -98,6 +99,7 @@
             last_status: BTreeMap::new(),
             owners: BTreeMap::new(),
             signals: TargetSignals::new(),
+            cold_starts: BTreeMap::new(),
         }
     }
 
@@ -144,6 +146,15 @@
         }
     }
 
+    /// Replaces what is known of the cold targets of a service; call it before targets are set that may be cold.
+    pub fn set_cold_starts(&mut self, now: Instant, service: &str, cold_starts: ColdStarts) {
+        let queues = self.dispatchers.iter_mut();
+        for (_, dispatcher) in queues.filter(|(queue, _)| service_of(queue) == service) {
+            dispatcher.set_cold_starts(now, cold_starts.clone());
+        }
+        self.cold_starts.insert(service.to_string(), cold_starts);
+    }
+
     /// Submits an attempt to the owner of its queue.
     pub fn submit(
         &mut self,
@@ -460,9 +471,11 @@
 
     fn dispatcher(&mut self, now: Instant, from: &NodeId, queue: &str) -> &mut Dispatcher {
         self.last_seen.insert((queue.to_string(), from.clone()), now);
-        let (targets, signals) = (&self.targets, &self.signals);
+        let (targets, signals, cold_starts) = (&self.targets, &self.signals, &self.cold_starts);
         self.dispatchers.entry(queue.to_string()).or_insert_with(|| {
             let mut dispatcher = Dispatcher::new();
+            let cold_starts = cold_starts.get(service_of(queue)).cloned().unwrap_or_default();
+            dispatcher.set_cold_starts(now, cold_starts);
             let targets = targets.get(queue).cloned().unwrap_or_default();
             // A dispatcher without attempts makes no decisions.
             dispatcher.set_targets(now, targets.clone(), &mut Vec::new());
@@ -570,6 +583,11 @@
     format!("{service}/{index}")
 }
 
+/// Returns the service of a queue.
+fn service_of(queue: &str) -> &str {
+    queue.rsplit_once('/').map_or(queue, |(service, _)| service)
+}
+
 fn decode_job(now: Instant, key: JobKey, job: &WireJob) -> Job {
     let arrived = now.checked_sub(Duration::from_millis(u64::from(job.waited_ms))).unwrap_or(now);
     Job {
@@ -591,5 +609,6 @@
         version: job.version.clone(),
         avoided_version: job.avoided_version.clone(),
         suspects: job.suspects.clone(),
+        home_zones: job.home_zones.clone(),
     }
 }
--- a/crates/agatecourse-gateway/src/process/coordinator/target_signals.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/target_signals.rs
@@ -109,7 +109,7 @@
     pub(super) fn closure_notices(&self, now: Instant, queue: &str) -> Vec<ClosureNotice> {
         let closed = self.queue_targets(queue).iter().filter_map(|target| {
             let pause_ms = match self.closure(now, &target.id, target.started_unix_ms)? {
-                Closure::Leaving => None,
+                Closure::Leaving | Closure::Evacuated => None,
                 Closure::Paused(until) => {
                     Some(until.saturating_duration_since(now).as_millis() as u64)
                 }
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -1,4 +1,5 @@
 use super::gateway_quota::{Quotas, RecordedUse};
+use super::gateway_zones::{ColdBounds, ZoneStates};
 use super::peer_documents::PeerDocuments;
 use super::peers::send_heartbeats;
 use super::{
@@ -8,9 +9,9 @@
 use crate::connection::{HeaderNames, TargetPool};
 use crate::version::{Deployment, ServiceId, Target};
 use agatecourse_core::process::RetryBudget;
-use agatecourse_core::request::dispatch::{DispatchTarget, JobNumber, RunReport};
+use agatecourse_core::request::dispatch::{JobNumber, RunReport};
 use agatecourse_core::request::{CrashLedger, SuspectKey};
-use agatecourse_types::{NodeId, RouteId, TargetId, ZoneId, rendezvous_owner};
+use agatecourse_types::{NodeId, RegionId, RouteId, TargetId, ZoneId, rendezvous_owner};
 use slog::{Logger, info};
 use snafu::Snafu;
 use std::cell::{Cell, RefCell};
@@ -29,6 +30,8 @@
     pub ip: Ipv4Addr,
     /// Availability zone in which the node runs.
     pub zone: ZoneId,
+    /// Region of each availability zone of the deployment.
+    pub region_of_zone: BTreeMap<ZoneId, RegionId>,
     /// Address that accepts callers' requests.
     pub caller_address: SocketAddr,
     /// Address for the readiness probes of the load balancer.
@@ -53,6 +56,8 @@
     pub grace: Duration,
     /// True when the whole deployment starts for the first time, so that no quota was used before.
     pub is_first_start: bool,
+    /// Bounds of the requests to cold targets; `None` if the deployment states none.
+    pub cold_bounds: Option<ColdBounds>,
     /// Class of the VM's processor and link; nodes of the highest class own the queues.
     pub capacity: NodeCapacity,
     /// Start of the process in Unix milliseconds; distinguishes successive processes with the same node name.
@@ -107,6 +112,7 @@
     pub(super) deployment: RefCell<Option<Rc<Deployment>>>,
     pub(super) targets: RefCell<BTreeMap<TargetId, Rc<Target>>>,
     targets_updated: Cell<Instant>,
+    pub(super) zones: ZoneStates,
     pub(super) coordinator: RefCell<Coordinator>,
     placements: RefCell<BTreeMap<JobNumber, oneshot::Sender<Placement>>>,
     pub(super) quotas: RefCell<Quotas>,
@@ -180,6 +186,7 @@
             deployment: RefCell::default(),
             targets: RefCell::default(),
             targets_updated: Cell::new(now),
+            zones: ZoneStates::default(),
             placements: RefCell::default(),
             quotas: RefCell::default(),
             bound_wanted: Notify::new(),
@@ -226,7 +233,11 @@
     /// Replaces the active configuration.
     pub fn set_deployment(&self, deployment: Deployment) {
         self.metrics.deployment_version.set(i64::try_from(deployment.version).unwrap_or(i64::MAX));
-        *self.deployment.borrow_mut() = Some(Rc::new(deployment));
+        let deployment = Rc::new(deployment);
+        let before = self.deployment.replace(Some(Rc::clone(&deployment)));
+        if before.is_none_or(|before| before.services != deployment.services) {
+            self.update_dispatch_targets(Instant::now());
+        }
     }
 
     /// Returns the active configuration, or `None` before the first one.
@@ -236,30 +247,14 @@
 
     /// Replaces the list of targets; draining targets receive no new requests.
     pub fn set_targets(&self, now: Instant, targets: Vec<Target>) {
-        let mut by_service: BTreeMap<ServiceId, Vec<DispatchTarget>> = BTreeMap::new();
-        for target in self.targets.borrow().values() {
-            by_service.entry(target.service.clone()).or_default();
-        }
         let usable: Vec<Target> =
             targets.into_iter().filter(|target| !target.is_draining).collect();
-        for target in &usable {
-            by_service.entry(target.service.clone()).or_default().push(DispatchTarget {
-                id: target.id.clone(),
-                slots: target.slots,
-                zone: target.zone.clone(),
-                version: target.version.clone(),
-                started_unix_ms: target.started_unix_ms,
-            });
-        }
         self.metrics.targets.set(gauge_value(usable.len()));
+        self.record_cold_targets(now, &usable);
         *self.targets.borrow_mut() =
             usable.into_iter().map(|target| (target.id.clone(), Rc::new(target))).collect();
         self.targets_updated.set(now);
-        let mut actions = Vec::new();
-        for (service, targets) in by_service {
-            self.coordinator.borrow_mut().set_targets(now, &service, targets, &mut actions);
-        }
-        self.perform_actions(actions);
+        self.update_dispatch_targets(now);
     }
 
     /// Returns a target that accepts requests, or `None` if it is unknown or draining.
@@ -566,6 +561,8 @@
             "targets": self.targets.borrow().len(),
             "targets_age_ms": self.targets_age(now).as_millis() as u64,
             "members": self.members.borrow().live(now),
+            "evacuated_zones": self.evacuated_zones(),
+            "cold_targets": self.cold_target_count(now),
             "waiting": waiting,
             "running": running,
             "queues": self.coordinator.borrow().snapshot(),
@@ -603,6 +600,6 @@
 }
 
 /// Converts a count to a gauge value; saturates at `i64::MAX`.
-fn gauge_value(count: usize) -> i64 {
+pub(super) fn gauge_value(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/agatecourse-gateway/src/process/gateway_signals.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_signals.rs
@@ -58,6 +58,9 @@
 
     /// Returns why this node may not send requests to a target, `None` if it may.
     pub(crate) fn target_closure(&self, target: &Target) -> Option<Closure> {
+        if self.is_evacuated(&target.zone) {
+            return Some(Closure::Evacuated);
+        }
         self.coordinator.borrow().closure(Instant::now(), &target.id, target.started_unix_ms)
     }
 
@@ -68,7 +71,7 @@
         for target in self.targets.borrow().values().filter(|target| target.service == *service) {
             match self.target_closure(target) {
                 None => return None,
-                Some(Closure::Leaving) => {}
+                Some(Closure::Leaving | Closure::Evacuated) => {}
                 Some(Closure::Paused(until)) => {
                     let left = until.saturating_duration_since(now);
                     first = Some(first.map_or(left, |known| known.min(left)));
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) peer_messages: IntCounterVec,
     pub(crate) owner_changes: IntCounter,
     pub(crate) quarantined_keys: IntGauge,
+    pub(crate) evacuated_zones: IntGauge,
+    pub(crate) cold_targets: IntGauge,
 }
 
 impl Metrics {
@@ -90,6 +92,12 @@
                 "quarantined_keys",
                 "Prompt parts and requests that are refused because they crash targets",
             )?,
+            evacuated_zones: gauge(
+                &registry,
+                "evacuated_zones",
+                "Zones whose targets get no requests",
+            )?,
+            cold_targets: gauge(&registry, "cold_targets", "Targets that say that they are cold")?,
             registry,
         })
     }
--- a/crates/agatecourse-gateway/src/process/peer_documents.rs
+++ b/crates/agatecourse-gateway/src/process/peer_documents.rs
@@ -98,7 +98,8 @@
         };
         let newer = self.newer.borrow();
         let mut fetching = self.fetching.borrow_mut();
-        let (id, known) = newer.iter().find(|(id, known)| {
+        // Documents with higher numbers restrict what those before them allow, so a node that starts without the source takes them first.
+        let (id, known) = newer.iter().rev().find(|(id, known)| {
             let is_allowed =
                 need != PeerNeed::Late || !self.only_without_source.borrow().contains(id);
             let has_waited = now.saturating_duration_since(known.since) >= wait;
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -167,6 +167,8 @@
     pub suspects: SmallVec<[SuspectKey; 2]>,
     /// Parts of the prompt.
     pub prompt_parts: PromptParts,
+    /// Zones of which the target must be in one; empty for any.
+    pub home_zones: SmallVec<[ZoneId; 2]>,
 }
 
 /// A message between nodes.
--- a/crates/agatecourse-gateway/src/process/run.rs
+++ b/crates/agatecourse-gateway/src/process/run.rs
@@ -249,6 +249,8 @@
 fn operator_response(gateway: &Gateway, head: &RequestHead) -> InternalResponse {
     match head.path.split('?').next().unwrap_or_default() {
         "/metrics" => {
+            let cold = gateway.cold_target_count(Instant::now());
+            gateway.metrics.cold_targets.set(i64::try_from(cold).unwrap_or(i64::MAX));
             InternalResponse::new(200, "text/plain; version=0.0.4", gateway.metrics.render())
         }
         "/dump" => InternalResponse::new(
--- a/crates/agatecourse-gateway/src/request/admission.rs
+++ b/crates/agatecourse-gateway/src/request/admission.rs
@@ -2,7 +2,7 @@
 use super::suspect_keys::suspect_keys;
 use super::workload::Workload;
 use super::{CallerRequest, Reply};
-use crate::process::Gateway;
+use crate::process::{Gateway, HomeZones};
 use crate::version::{Deployment, Route, ServiceId};
 use agatecourse_core::request::{CrashVerdict, SuspectKeys};
 use agatecourse_types::{OrganisationId, ResultCode, stable_hash};
@@ -50,6 +50,8 @@
     pub(crate) uses_api_keys: bool,
     /// Keys under which crashes of this request's targets are counted; the first identifies repeats of the request.
     pub(crate) suspect_keys: SuspectKeys,
+    /// Zones whose targets may run it; `None` for all.
+    pub(crate) home_zones: Option<HomeZones>,
 }
 
 /// Checks route, quarantine, API key and quota of a request; returns the refusal when one of them fails.
@@ -84,9 +86,12 @@
         quota: None,
         suspect_keys,
         uses_api_keys: !deployment.organisations.is_empty(),
+        home_zones: gateway.home_zones(&[&route.home_regions]),
         route,
     };
     if let Some(organisation) = organisation.and_then(|name| deployment.organisations.get(&name)) {
+        let homes = [&admitted.route.home_regions, &organisation.home_regions];
+        admitted.home_zones = gateway.home_zones(&homes);
         admitted.rank =
             organisation.priority.map_or(admitted.rank, |priority| priority * 16 + admitted.rank);
         if let Some(quota) = organisation.quota {
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -12,7 +12,7 @@
 use crate::version::Target;
 use agatecourse_core::request::dispatch::RunEnd;
 use agatecourse_core::request::{CrashReport, CrashVerdict};
-use agatecourse_types::{ResultCode, TargetId, stable_hash};
+use agatecourse_types::{ResultCode, TargetId, ZoneId, stable_hash};
 use request_log::log_reply;
 use slog::warn;
 use smallvec::SmallVec;
@@ -27,6 +27,9 @@
 /// Grants of targets that are closed to this node after which a request asks for none of these targets any more; the owner of the queue
 /// hears of a closed target before it gets the next attempt, so that further grants mean that it does not know the target's process.
 const MAX_CLOSED_GRANTS: u32 = 2;
+/// Grants of targets in evacuated zones or outside the request's home regions after which a request is refused; the owner of the queue does
+/// not know that they may not run it.
+const MAX_GRANTS_OF_OTHER_ZONES: u32 = 8;
 /// Attempts that end without running the request, such as failed connections, before the request is refused.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 /// Time reserved before the deadline to write the refusal before the caller times out.
@@ -57,6 +60,8 @@
     unsent_attempts: u32,
     /// Grants that were not used because the target had closed to this node.
     closed_grants: u32,
+    /// Grants that were not used because the target's zone may not run the request.
+    unusable_grants: u32,
     /// Response of a target to an earlier attempt, which said that it failed; the reply if no later attempt gets a response.
     failed_response: Option<Reply>,
     /// True while an attempt is in flight; the log line of a request that ends meanwhile counts it.
@@ -122,6 +127,7 @@
         sent_attempts: 0,
         unsent_attempts: 0,
         closed_grants: 0,
+        unusable_grants: 0,
         failed_response: None,
         is_sending: false,
         last_target: TargetId::new(),
@@ -175,6 +181,9 @@
             if let Some(reply) = self.quarantine_reply(&verdict) {
                 return reply;
             }
+            if let Some(reply) = self.zone_refusal() {
+                return reply;
+            }
             let (number, placement) = self.submit(&verdict);
             let mut guard = AttemptGuard::new(self.gateway, number);
             let placement = tokio::select! {
@@ -227,6 +236,19 @@
                 }
                 continue;
             };
+            if !self.may_run_in(&target.zone) {
+                guard.end(RunEnd::Unused);
+                self.failed_targets.push(target.id.clone());
+                self.unusable_grants += 1;
+                if self.unusable_grants >= MAX_GRANTS_OF_OTHER_ZONES {
+                    return self.not_placed_reply(
+                        ResultCode::NoTarget,
+                        PLACEMENT_RETRY,
+                        "queue grants targets of zones that may not run the request",
+                    );
+                }
+                continue;
+            }
             self.last_target.clone_from(&target.id);
             match self.run_attempt(&target, &owner, guard, caller, may_have_run).await {
                 NextStep::Reply(reply) => return reply,
@@ -271,10 +293,27 @@
             version,
             avoided_version,
             suspects,
+            home_zones: admitted.home_zones.clone().unwrap_or_default(),
         };
         self.gateway.submit(now, &admitted.service, self.request.arrived, job)
     }
 
+    /// Returns whether the targets of a zone may run the request: the zone is not evacuated, and a home of the request.
+    fn may_run_in(&self, zone: &ZoneId) -> bool {
+        let homes = &self.admitted.home_zones;
+        !self.gateway.is_evacuated(zone) && homes.as_ref().is_none_or(|zones| zones.contains(zone))
+    }
+
+    /// Returns the refusal of a request that may run in none of the zones with targets; `None` for another one.
+    fn zone_refusal(&mut self) -> Option<Reply> {
+        let (service, homes) = (&self.admitted.service, self.admitted.home_zones.as_ref());
+        if !self.gateway.zones_exclude_all_targets(service, homes) {
+            return None;
+        }
+        let reason = "no target in a zone that may run the request takes requests";
+        Some(self.not_placed_reply(ResultCode::NoTarget, PLACEMENT_RETRY, reason))
+    }
+
     /// Returns the reply to a request that ends before its response is complete; its code depends on whether a target
     /// may have run the request.
     fn early_end_reply(&mut self, early_end: EarlyEnd, may_have_run: bool) -> Reply {
--- a/crates/agatecourse-gateway/src/version/deployment.rs
+++ b/crates/agatecourse-gateway/src/version/deployment.rs
@@ -1,8 +1,11 @@
-use agatecourse_types::{OrganisationId, RouteId};
+use agatecourse_types::{OrganisationId, RegionId, RouteId};
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Regions by name.
+pub type Regions = SmallVec<[RegionId; 2]>;
+
 /// Name by which routes and targets refer to a service.
 pub type ServiceId = String;
 
@@ -63,6 +66,8 @@
     pub max_attempts: u32,
     /// Services with their weights; each request is assigned to one of them by its id.
     pub split: SmallVec<[(ServiceId, u32); 2]>,
+    /// Regions whose targets may run its requests; `None` for all.
+    pub home_regions: Option<Regions>,
 }
 
 impl Route {
@@ -74,8 +79,17 @@
     }
 }
 
+/// What the targets of a service take after their start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time for which a target is cold after its start.
+    pub duration: Duration,
+    /// Requests per second that a cold target takes from all nodes together.
+    pub requests_per_s: f64,
+}
+
 /// A service that routes may refer to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Name to which routes and targets refer; of several services with the same name, the last one is used.
     pub name: ServiceId,
@@ -83,6 +97,8 @@
     pub max_connections: u32,
     /// True for model engines.
     pub is_engine: bool,
+    /// What its targets take while they are cold; `None` if they take as much as at any time.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limit on what an organisation may use.
@@ -109,6 +125,8 @@
     pub priority: Option<u32>,
     /// Usage limit; `None` when usage is unlimited.
     pub quota: Option<Quota>,
+    /// Regions whose targets may run its requests; `None` for all.
+    pub home_regions: Option<Regions>,
 }
 
 /// Limits on sizes and times of callers' connections.
--- a/crates/agatecourse-gateway/src/version/mod.rs
+++ b/crates/agatecourse-gateway/src/version/mod.rs
@@ -4,6 +4,7 @@
 mod target;
 
 pub use deployment::{
-    CallerLimits, Deployment, Organisation, Quota, Route, RouteKind, Service, ServiceId,
+    CallerLimits, ColdStart, Deployment, Organisation, Quota, Regions, Route, RouteKind, Service,
+    ServiceId,
 };
 pub use target::Target;
--- a/crates/agatecourse-gateway/src/version/target.rs
+++ b/crates/agatecourse-gateway/src/version/target.rs
@@ -1,6 +1,7 @@
 use super::ServiceId;
 use agatecourse_types::{TargetId, VersionId, ZoneId};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A running target as discovery reports it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,4 +22,6 @@
     pub is_draining: bool,
     /// Start of its process in Unix milliseconds, 0 when unknown; distinguishes processes that use the same id in turn.
     pub started_unix_ms: u64,
+    /// Time from the receipt of the report for which it is still cold after its start.
+    pub cold_remaining: Duration,
 }
--- a/crates/agatecourse-gateway/tests/coordinator.rs
+++ b/crates/agatecourse-gateway/tests/coordinator.rs
@@ -163,6 +163,7 @@
         version: String::new(),
         avoided_version: String::new(),
         suspects: SmallVec::new(),
+        home_zones: SmallVec::new(),
     }
 }
 
--- a/crates/agatecourse-types/src/ids.rs
+++ b/crates/agatecourse-types/src/ids.rs
@@ -18,6 +18,8 @@
 pub type OrganisationId = String;
 /// Name of a zone: an availability zone.
 pub type ZoneId = String;
+/// Name of a region, which holds availability zones.
+pub type RegionId = String;
 /// Name of a VM: a machine.
 pub type VmId = String;
 /// Name of a target version.
