fix(quota): shares are exceeded by the larger forecast of the demand only

Cause: with the mean of two forecasts, nodes that had just restarted expected too little demand, gave out the quota at once, and the organisation got nothing for the rest of the window.

Change: the mean serves the reserve of urgent ranks; the larger forecast serves the shares of nodes, as before.

--- a/crates/agatecourse-core/src/request/quota_reserve.rs
+++ b/crates/agatecourse-core/src/request/quota_reserve.rs
@@ -87,6 +87,12 @@
         u64::midpoint(self.asked, self.asked_recently * u64::from(RECENT_DIVISOR))
     }
 
+    /// Returns the larger of what was asked for in the window and what its newest quarter amounts to in a window. Shares are exceeded by it only, as
+    /// after a restart of all nodes the mean would let them use up the quota at once.
+    fn highest(&self) -> u64 {
+        self.asked.max(self.asked_recently * u64::from(RECENT_DIVISOR))
+    }
+
     /// Returns what random arrivals may add to the expected amount in a window: two standard deviations of the sum of as many requests.
     fn spread(&self) -> u64 {
         let mean = self.asked as f64 / f64::from(self.requests.max(1));
@@ -164,7 +170,7 @@
         RankTerms {
             urgent: above.expected(),
             spread: above.spread(),
-            expected: self.knows_demand(now).then(|| own_and_above.expected()),
+            expected: self.knows_demand(now).then(|| own_and_above.highest()),
             reporting_nodes: self.peers.len() + 1,
         }
     }
