fix(gateway): divide the retry budget by the nodes that are known now

Cause: a node computed its share of the burst once, at the first request for a service, from the number of nodes that it knew then. Each new process also had a full burst again. The class: a share of a common limit that is computed from a number that is still changing, and kept.

Change: NodeRetryBudget in the core takes the number of nodes with each first attempt, and gives a process that replaces another its burst only after the window of the budget. New counter retries_total.

--- a/crates/agatecourse-core/src/process/mod.rs
+++ b/crates/agatecourse-core/src/process/mod.rs
@@ -10,9 +10,11 @@
 mod membership;
 mod membership_event;
 mod memory_table;
+mod node_retry_budget;
 mod owner_assignment;
 mod prober;
 mod retry_budget;
+mod retry_limits;
 
 pub use alert_event::{AlertAction, AlertEvent};
 pub use alert_set::AlertSet;
@@ -23,8 +25,10 @@
 pub use membership::Membership;
 pub use membership_event::{MembershipAction, MembershipEvent, MembershipSnapshot, VmObservation};
 pub use memory_table::MemoryTable;
+pub use node_retry_budget::NodeRetryBudget;
 pub use owner_assignment::OwnerAssignment;
 pub use retry_budget::RetryBudget;
+pub use retry_limits::RetryLimits;
 
 /// Returns how often an update is gossiped so that it reaches `nodes` nodes with high probability.
 pub(crate) fn gossip_send_count(nodes: usize) -> u32 {
--- a/crates/agatecourse-core/src/process/retry_budget.rs
+++ b/crates/agatecourse-core/src/process/retry_budget.rs
@@ -41,6 +41,25 @@
         self
     }
 
+    /// Empties the budget.
+    #[must_use]
+    pub fn without_burst(mut self) -> Self {
+        self.available = 0;
+        self
+    }
+
+    /// Replaces the limits; what is available stays, up to the new burst.
+    pub fn set_limits(&mut self, share: f64, burst: f64) {
+        let available = self.available;
+        *self = self.clone().with_limits(share, burst);
+        self.available = available.min(self.capacity);
+    }
+
+    /// Fills the budget.
+    pub fn fill(&mut self) {
+        self.available = self.capacity;
+    }
+
     /// Adds the share of one first attempt to the budget.
     pub fn record_attempt(&mut self) {
         self.available = (self.available + self.earned_per_attempt).min(self.capacity);
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -9,7 +9,7 @@
 use crate::budget::{BudgetLimits, ResourceBudget, SocketPermit};
 use crate::connection::{HeaderNames, TargetPool};
 use crate::version::{Deployment, ServiceId, Target};
-use agatecourse_core::process::RetryBudget;
+use agatecourse_core::process::{NodeRetryBudget, RetryLimits};
 use agatecourse_core::request::dispatch::{JobNumber, RunReport};
 use agatecourse_core::request::{CrashLedger, SuspectKey};
 use agatecourse_types::{NodeId, RegionId, RouteId, TargetId, ZoneId, rendezvous_owner};
@@ -49,6 +49,8 @@
     pub retry_ratio: f64,
     /// Number of retries that all nodes together may accumulate beyond that ratio.
     pub retry_burst: u32,
+    /// Length of the sliding window in which retries are counted.
+    pub retry_window: Duration,
     /// Ratio by which the use in one window may exceed a quota.
     pub quota_overage: f64,
     /// Amount by which the use in one window may exceed a quota; covers use that other nodes have not reported yet.
@@ -94,9 +96,6 @@
     },
 }
 
-/// Ratio of the deployment's retry budget that is divided among the nodes; the rest covers the uneven spread of requests.
-const RETRY_BUDGET_RATIO: f64 = 0.75;
-
 /// Weight of the newest request in the moving average of a route's expected response length.
 const MEAN_SIZE_WEIGHT: f64 = 0.05;
 
@@ -131,7 +130,7 @@
     pub(super) bound_wanted: Notify,
     /// Version of the quota bounds; signals requests that wait for a higher one.
     pub(super) bound_changes: watch::Sender<u64>,
-    retry_budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
+    retry_budgets: RefCell<BTreeMap<ServiceId, NodeRetryBudget>>,
     stopping_since: Cell<Option<Instant>>,
     ending: watch::Sender<bool>,
     /// True once the process accepts no callers' connections any more and closes those without a request.
@@ -603,18 +602,36 @@
     /// Credits a first attempt to the retry budget of a service.
     pub(crate) fn record_first_attempt(&self, service: &ServiceId) {
         let nodes = self.node_count();
-        let ratio = self.settings.retry_ratio * RETRY_BUDGET_RATIO;
-        let burst = f64::from(self.settings.retry_burst) * RETRY_BUDGET_RATIO / nodes as f64;
+        let settings = &self.settings;
+        let limits = RetryLimits {
+            ratio: settings.retry_ratio,
+            burst: f64::from(settings.retry_burst),
+            window: settings.retry_window,
+        };
+        let uptime = self.uptime(Instant::now());
+        let idle_before = if settings.is_first_start { Duration::MAX } else { uptime };
         self.retry_budgets
             .borrow_mut()
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new().with_limits(ratio, burst))
-            .record_attempt();
+            .or_insert_with(|| {
+                info!(self.log, "retry budget created"; "service" => service, "nodes" => nodes,
+                    "first_start" => settings.is_first_start, "uptime_ms" => uptime.as_millis() as u64);
+                // The series exist from the start, so that a rate shows the first refusal.
+                for result in ["granted", "refused"] {
+                    self.metrics.retries.with_label_values(&[service.as_str(), result]).inc_by(0);
+                }
+                NodeRetryBudget::new()
+            })
+            .record_attempt(limits, nodes, idle_before);
     }
 
     /// Takes a retry from the budget of a service; returns false if the budget is exhausted.
     pub(crate) fn try_retry(&self, service: &ServiceId) -> bool {
-        self.retry_budgets.borrow_mut().entry(service.clone()).or_default().try_retry()
+        let is_granted =
+            self.retry_budgets.borrow_mut().entry(service.clone()).or_default().try_retry();
+        let result = if is_granted { "granted" } else { "refused" };
+        self.metrics.retries.with_label_values(&[service.as_str(), result]).inc();
+        is_granted
     }
 
     /// Returns the state of the node as JSON for the state dump.
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -52,6 +52,7 @@
     pub(crate) requests: IntCounterVec,
     pub(crate) attempts: IntCounterVec,
     pub(crate) attempts_by_zone: IntCounterVec,
+    pub(crate) retries: IntCounterVec,
     pub(crate) open_requests: IntGauge,
     pub(crate) wait_seconds: Histogram,
     pub(crate) first_byte_seconds: Histogram,
@@ -94,6 +95,12 @@
                 "Attempts by the zone of their target",
                 &["zone", "relation"],
             )?,
+            retries: counters(
+                &registry,
+                "retries_total",
+                "Further attempts that were asked of the retry budget",
+                &["service", "result"],
+            )?,
             open_requests: gauge(&registry, "open_requests", "Requests that wait or run")?,
             wait_seconds: histogram(
                 &registry,
