fix(gateway): reach targets through other nodes while a node's own links are lost

Cause: a node had one way to a target, and what it met on it was reported as a fault of the target. Its attempts held slots until they timed out, the owner of the queue paused sound targets, and crashes were held against innocent requests. The class: a fact of a pair, node and target, is taken for a fact of the target.

Change: TargetPaths (core, no I/O) keeps which targets this node reaches through others only. A direct connection that fails or is slow is followed by a tunnel through a node that says in its heartbeats that it serves them; three such targets in a row mean that the node is cut off, and one direct connection every 500 ms finds the end of that. A tunnel carries bytes only, so admission, deadline, retries and 'has not run' stay with the node that has the caller. A lost answer counts against its target, version or request only if another target is heard or reached. Logs and metrics of paths and tunnels are new.

--- a/crates/agatecourse-core/src/request/mod.rs
+++ b/crates/agatecourse-core/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod quota_bounds;
 mod quota_reserve;
 mod quota_window;
+mod target_paths;
 mod token_bucket;
 mod use_history;
 
@@ -19,6 +20,7 @@
 pub use quota_bounds::{BoundDemand, BoundEntry, BoundPlan, QuotaBounds};
 pub use quota_reserve::{MAX_REPORTED_RANKS, QuotaReserve, RankReport, RankReports, RankTerms};
 pub use quota_window::{QuotaRefusal, QuotaWindow};
+pub use target_paths::{PathChange, TargetPath, TargetPaths};
 pub use token_bucket::TokenBucket;
 pub use use_history::UseHistory;
 mod organisation_limiter;
--- a/crates/agatecourse-gateway/src/connection/mod.rs
+++ b/crates/agatecourse-gateway/src/connection/mod.rs
@@ -9,6 +9,7 @@
 mod simple_client;
 mod target_connection;
 mod target_pool;
+mod tunnel;
 
 pub(crate) use body::{BodyFraming, BodyReader, read_some};
 pub(crate) use caller::serve_caller;
@@ -22,6 +23,10 @@
 pub use simple_client::{CallError, SimpleClient};
 pub(crate) use target_connection::{ResponseError, TargetConnection, set_socket_options};
 pub(crate) use target_pool::TargetPool;
+pub(crate) use tunnel::{
+    NODE_HEADER, NODE_START_HEADER, TARGET_START_HEADER, TUNNEL_PATH_PREFIX, TunnelError,
+    TunnelLink, TunnelTarget, connect_through,
+};
 
 // Public because fuzzing and property tests decode bodies without a socket.
 pub use body::{BodyError, ChunkedDecoder};
--- a/crates/agatecourse-gateway/src/connection/target_connection.rs
+++ b/crates/agatecourse-gateway/src/connection/target_connection.rs
@@ -1,3 +1,4 @@
+use super::tunnel::TunnelLink;
 use super::{
     BodyReader, HeadError, MAX_RESPONSE_HEAD_BYTES, ResponseHead, parse_response_head, read_some,
 };
@@ -60,10 +61,29 @@
     pub(crate) buffer: BytesMut,
     pub(crate) idle_since: Instant,
     pub(crate) idle_limit: Duration,
+    /// Node through which the connection runs; `None` for a direct one.
+    pub(crate) tunnel: Option<TunnelLink>,
     _permit: SocketPermit,
 }
 
 impl TargetConnection {
+    /// Creates a direct connection from a connected socket.
+    pub(super) fn new(stream: TcpStream, permit: SocketPermit) -> Self {
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+            idle_since: Instant::now(),
+            idle_limit: Duration::ZERO,
+            tunnel: None,
+            _permit: permit,
+        }
+    }
+
+    /// Makes it a connection through a node, with bytes that were already read.
+    pub(super) fn with_tunnel(self, link: TunnelLink, buffer: BytesMut) -> Self {
+        Self { buffer, tunnel: Some(link), ..self }
+    }
+
     /// Connects within [`CONNECT_TIMEOUT`] and sets the socket options.
     pub(crate) async fn connect(
         address: SocketAddr,
@@ -74,13 +94,7 @@
             .map_err(|_| ConnectError::Timeout)?
             .map_err(|source| ConnectError::Failed { source })?;
         set_socket_options(&stream).map_err(|source| ConnectError::Failed { source })?;
-        Ok(Self {
-            stream,
-            buffer: BytesMut::new(),
-            idle_since: Instant::now(),
-            idle_limit: Duration::ZERO,
-            _permit: permit,
-        })
+        Ok(Self::new(stream, permit))
     }
 
     /// Returns whether an idle connection is open and has no unexpected bytes to read.
--- a/crates/agatecourse-gateway/src/process/gateway.rs
+++ b/crates/agatecourse-gateway/src/process/gateway.rs
@@ -1,3 +1,4 @@
+use super::gateway_paths::PathStates;
 use super::gateway_quota::{Quotas, RecordedUse};
 use super::gateway_zones::{ColdBounds, ZoneStates};
 use super::peer_documents::PeerDocuments;
@@ -12,8 +13,11 @@
 use agatecourse_core::process::{NodeRetryBudget, RetryLimits};
 use agatecourse_core::request::dispatch::{JobNumber, RunReport};
 use agatecourse_core::request::{CrashLedger, SuspectKey};
-use agatecourse_types::{NodeId, RegionId, RouteId, TargetId, ZoneId, rendezvous_owner};
+use agatecourse_types::{
+    NodeId, RegionId, RouteId, TargetId, ZoneId, rendezvous_owner, stable_hash,
+};
 use slog::{Logger, info, warn};
+use smallvec::SmallVec;
 use snafu::Snafu;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -99,6 +103,9 @@
 /// Weight of the newest request in the moving average of a route's expected response length.
 const MEAN_SIZE_WEIGHT: f64 = 0.05;
 
+/// Other targets that are tried to find out whether the links of this node work.
+const MAX_CONTROL_TARGETS: usize = 2;
+
 /// Time after a pause of the process for which it may still read what came meanwhile.
 const PAUSE_BACKLOG_TIME: Duration = Duration::from_secs(1);
 
@@ -123,6 +130,7 @@
     /// End of the last pause of the process.
     last_pause_end: Cell<Option<Instant>>,
     pub(super) zones: ZoneStates,
+    pub(super) path_states: PathStates,
     pub(super) coordinator: RefCell<Coordinator>,
     placements: RefCell<BTreeMap<JobNumber, oneshot::Sender<Placement>>>,
     pub(super) quotas: RefCell<Quotas>,
@@ -203,6 +211,7 @@
             targets_updated: Cell::new(now),
             last_pause_end: Cell::new(None),
             zones: ZoneStates::default(),
+            path_states: PathStates::default(),
             placements: RefCell::default(),
             quotas: RefCell::default(),
             bound_wanted: Notify::new(),
@@ -308,6 +317,22 @@
         self.targets.borrow().get(id).cloned()
     }
 
+    /// Returns a few other targets that show whether the links of this node work; they differ between nodes, and come from as many services as possible.
+    pub(crate) fn control_targets(&self, except: &TargetId) -> SmallVec<[Rc<Target>; 2]> {
+        let targets = self.targets.borrow();
+        let service = targets.get(except).map(|target| target.service.clone());
+        let mut others: Vec<&Rc<Target>> =
+            targets.values().filter(|target| target.id != *except).collect();
+        others.sort_by_key(|target| {
+            let own = self.settings.node.as_bytes();
+            let is_same_service = Some(&target.service) == service.as_ref();
+            (is_same_service, stable_hash(&[own, target.id.as_bytes()]))
+        });
+        let last = others.pop().filter(|_| others.len() >= MAX_CONTROL_TARGETS);
+        others.truncate(MAX_CONTROL_TARGETS - usize::from(last.is_some()));
+        others.into_iter().chain(last).map(Rc::clone).collect()
+    }
+
     /// Returns whether another process is known to have the id or the address of a target.
     pub(crate) fn is_replaced(&self, target: &Target) -> bool {
         let is_other = |known: &Target| {
@@ -650,6 +675,8 @@
             "targets_age_ms": self.targets_age(now).as_millis() as u64,
             "members": self.members.borrow().live(now),
             "lost_members": self.members.borrow().lost_count(),
+            "cut_off": self.is_cut_off(),
+            "served_tunnels": self.served_tunnels(),
             "evacuated_zones": self.evacuated_zones(),
             "cold_targets": self.cold_target_count(now),
             "waiting": waiting,
--- a/crates/agatecourse-gateway/src/process/members.rs
+++ b/crates/agatecourse-gateway/src/process/members.rs
@@ -48,6 +48,7 @@
     is_stopping: bool,
     capacity: NodeCapacity,
     follows_source: bool,
+    serves_tunnels: bool,
 }
 
 /// Node that has been silent for long. It may have been taken away, or be live behind a partition.
@@ -136,6 +137,7 @@
             is_stopping: false,
             capacity: NodeCapacity::default(),
             follows_source: false,
+            serves_tunnels: false,
         };
         self.known.insert(node.clone(), member);
         true
@@ -193,6 +195,7 @@
             is_stopping: heartbeat.is_stopping,
             capacity: heartbeat.capacity,
             follows_source: heartbeat.follows_source,
+            serves_tunnels: heartbeat.serves_tunnels,
         };
         is_new
     }
@@ -232,6 +235,12 @@
         rendezvous_owner(SENTINEL_DUTY, candidates) == Some(node.as_str())
     }
 
+    /// Returns the live nodes that open tunnels to targets for others, with their addresses.
+    pub fn tunnel_nodes(&self, now: Instant) -> impl Iterator<Item = (&NodeId, Ipv4Addr)> {
+        let serving = self.live_members(now).filter(|(_, member)| member.serves_tunnels);
+        serving.map(|(node, member)| (node, member.address))
+    }
+
     /// Returns whether there are so many live nodes, with this one, that not all follow the source of documents.
     fn is_large(&self, now: Instant) -> bool {
         self.live_members(now).count() >= MAX_NODES_WITHOUT_RELAYS
--- a/crates/agatecourse-gateway/src/process/metrics.rs
+++ b/crates/agatecourse-gateway/src/process/metrics.rs
@@ -45,6 +45,43 @@
     }
 }
 
+/// Metrics of the paths to targets.
+#[derive(Debug, Clone)]
+pub(crate) struct PathMetrics {
+    pub(crate) cut_off: IntGauge,
+    pub(crate) detours: IntGauge,
+    pub(crate) tunnels: IntCounterVec,
+    pub(crate) served_tunnels: IntGauge,
+}
+
+impl PathMetrics {
+    fn new(registry: &Registry) -> prometheus::Result<Self> {
+        Ok(Self {
+            cut_off: gauge(
+                registry,
+                "cut_off",
+                "1 while the node has lost its links to all targets",
+            )?,
+            detours: gauge(
+                registry,
+                "detours",
+                "Targets that the node reaches through other nodes only",
+            )?,
+            tunnels: counters_from_zero(
+                registry,
+                "tunnels_total",
+                "Tunnels to targets: opened through other nodes or failed there, served for others or refused",
+                ("result", &["opened", "failed", "served", "refused"]),
+            )?,
+            served_tunnels: gauge(
+                registry,
+                "served_tunnels",
+                "Tunnels to targets that are open for other nodes",
+            )?,
+        })
+    }
+}
+
 /// Metrics of a gateway node; `docs/metrics.md` describes each.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -71,6 +108,7 @@
     pub(crate) cold_targets: IntGauge,
     pub(crate) budget: BudgetMetrics,
     pub(crate) queue_refusals: IntCounterVec,
+    pub(crate) paths: PathMetrics,
 }
 
 impl Metrics {
@@ -171,6 +209,7 @@
                 "Requests that a queue refused, by whether the caller has a place when it returns",
                 ("has_place", &["yes", "no"]),
             )?,
+            paths: PathMetrics::new(&registry)?,
             registry,
         })
     }
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -23,6 +23,10 @@
 
 /// State that a node sends to all others periodically.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[allow(
+    clippy::struct_excessive_bools,
+    reason = "nodes of earlier versions fix the encoding of each flag"
+)]
 pub struct Heartbeat {
     /// Start of the process in Unix milliseconds.
     pub started_unix_ms: u64,
@@ -63,6 +67,8 @@
     pub unlisted_growth_ppm: Option<u32>,
     /// Demand by rank of some of the organisations that are near their limit.
     pub rank_demands: Vec<RankDemand>,
+    /// True if the sender opens tunnels to targets for nodes that have lost their links to them.
+    pub serves_tunnels: bool,
 }
 
 /// What the ranks of an organisation have asked for on the sending node in the quota window.
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -271,6 +271,7 @@
         lost_members: lost_members.collect(),
         unlisted_growth_ppm: None,
         rank_demands: gateway.rank_demands(now),
+        serves_tunnels: gateway.serves_tunnels(),
     };
     // The lengths of the lists in front of the use take some bytes more once they are filled.
     let other_bytes = postcard::to_allocvec(&heartbeat).map_or(0, |bytes| bytes.len())
--- a/crates/agatecourse-gateway/src/process/run.rs
+++ b/crates/agatecourse-gateway/src/process/run.rs
@@ -1,3 +1,5 @@
+use super::gateway_paths::subscribe_path_probes;
+use super::tunnel_server::serve_tunnel;
 use super::{Gateway, GatewayError, peers};
 use crate::connection::{
     CompleteResponse, RequestHead, parse_request_head, read_some, serve_caller,
@@ -71,10 +73,11 @@
         signal(SignalKind::hangup()).map_err(|source| GatewayError::Signals { source })?;
     serve_internal(&gateway, ready, ready_response);
     serve_internal(&gateway, operators, operator_response);
-    serve_internal(&gateway, documents, peer_response);
+    serve_peers(&gateway, documents);
     actix_rt::spawn(peers::receive_messages(Rc::clone(&gateway)));
     peers::subscribe_timers(&gateway);
     subscribe_pruning(&gateway);
+    subscribe_path_probes(&gateway);
     peers::send_heartbeats(&gateway, Instant::now());
     let timers = Rc::clone(&gateway);
     actix_rt::spawn(async move { timers.timers.run(&timers.log).await });
@@ -120,6 +123,7 @@
     loop {
         tokio::time::sleep(DRAIN_CHECK_PERIOD).await;
         let now_open = gateway.metrics.open_requests.get();
+        let open_tunnels = gateway.served_tunnels();
         if Instant::now() + FINAL_RESPONSE_MARGIN >= end {
             gateway.end_requests();
         }
@@ -131,11 +135,12 @@
         }
         let is_drained = closing_since.is_some_and(|since| {
             now_open == 0
+                && open_tunnels == 0
                 && (gateway.caller_connections() == 0 || since.elapsed() >= MAX_CLOSING_TIME)
         });
         if is_drained || Instant::now() >= end {
             info!(gateway.log, "node stopped"; "open_requests" => now_open,
-                "elapsed_ms" => now.elapsed().as_millis() as u64);
+                "open_tunnels" => open_tunnels, "elapsed_ms" => now.elapsed().as_millis() as u64);
             // Gives the log thread time to write the last lines.
             tokio::time::sleep(Duration::from_millis(20)).await;
             return;
@@ -228,12 +233,37 @@
     });
 }
 
-/// Serves requests without a body until the client closes the connection or a timeout expires.
+/// Serves documents and tunnels to other nodes.
+fn serve_peers(gateway: &Rc<Gateway>, listener: TcpListener) {
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let gateway = Rc::clone(&gateway);
+                    actix_rt::spawn(async move {
+                        let connect = serve_requests(&gateway, stream, peer_response).await;
+                        if let Some((stream, head)) = connect {
+                            serve_tunnel(&gateway, stream, &head).await;
+                        }
+                    });
+                }
+                Err(error) => {
+                    warn!(gateway.log, "accepting an internal connection failed"; "error" => error.to_string());
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    });
+}
+
+/// Serves requests without a body until the client closes the connection, a timeout expires, or a request asks for a tunnel;
+/// returns the connection and the head of that request.
 async fn serve_requests(
     gateway: &Gateway,
     mut stream: TcpStream,
     respond: fn(&Gateway, &RequestHead) -> InternalResponse,
-) {
+) -> Option<(TcpStream, RequestHead)> {
     let mut buffer = BytesMut::new();
     loop {
         let (head, length) = match parse_request_head(&buffer) {
@@ -242,12 +272,15 @@
                 let read = read_some(&mut stream, &mut buffer);
                 match tokio::time::timeout(INTERNAL_TIMEOUT, read).await {
                     Ok(Ok(read)) if read > 0 => continue,
-                    _ => return,
+                    _ => return None,
                 }
             }
-            _ => return,
+            _ => return None,
         };
         let _head_bytes = buffer.split_to(length);
+        if head.method == "CONNECT" && buffer.is_empty() {
+            return Some((stream, head));
+        }
         let reply = respond(gateway, &head);
         let mut lines = format!("Content-Type: {}\r\n", reply.content_type);
         if let Some(version) = reply.version {
@@ -258,7 +291,7 @@
             .serialize(&head.method);
         let written = tokio::time::timeout(INTERNAL_TIMEOUT, stream.write_all(&bytes)).await;
         if head.closes || !matches!(written, Ok(Ok(()))) {
-            return;
+            return None;
         }
     }
 }
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -1,5 +1,6 @@
 use super::CallerRequest;
 use super::crash_check::still_runs;
+use super::open_connection::{OpenError, open_connection};
 use crate::budget::ByteUse;
 use crate::connection::{
     BodyFraming, BodyReader, HeaderNames, ResponseError, ResponseHead, TargetConnection,
@@ -53,16 +54,16 @@
     let mut connection = if let Some(connection) = pooled {
         connection
     } else {
-        let Some(permit) = gateway.open_target_socket() else { return AttemptEnd::NoSocket };
-        match TargetConnection::connect(target.address, permit).await {
+        match open_connection(gateway, target).await {
             Ok(connection) => connection,
-            Err(error) => return AttemptEnd::NotSent { reason: error.to_string() },
+            Err(OpenError::NoSocket) => return AttemptEnd::NoSocket,
+            Err(OpenError::Unreachable { reason }) => return AttemptEnd::NotSent { reason },
         }
     };
     // The target may have closed to this node since the grant, while a connection was opened.
     if let Some(closure) = gateway.target_closure(target) {
         if closure != Closure::Leaving {
-            gateway.pool.borrow_mut().put(&target.id, connection, None, Instant::now());
+            gateway.pool_connection(&target.id, connection, None);
         }
         return AttemptEnd::Closed { closure };
     }
@@ -82,6 +83,7 @@
             return AttemptEnd::Lost { reason: error.to_string() };
         }
     };
+    gateway.record_heard(Instant::now(), &target.id);
     if head.status == 421 {
         return AttemptEnd::WrongTarget;
     }
@@ -188,7 +190,9 @@
             .resize(body.capacity(), ByteUse::Answer { total_bytes: body.len() })
             .map_err(|error| BodyError::NoMemory(error.to_string()))?;
     }
-    if head.framing == BodyFraming::UntilClose && !still_runs(gateway, target).await {
+    if head.framing == BodyFraming::UntilClose
+        && !still_runs(gateway, target, connection.tunnel.as_ref()).await
+    {
         return Err(BodyError::Lost("target ended with the connection".to_string()));
     }
     return_to_pool(gateway, target, connection, head);
@@ -211,7 +215,7 @@
         let value = text.split(',').find_map(|item| item.trim().strip_prefix("timeout="))?;
         parse_seconds(value)
     });
-    gateway.pool.borrow_mut().put(&target.id, connection, stated_idle, Instant::now());
+    gateway.pool_connection(&target.id, connection, stated_idle);
 }
 
 /// Parses a non-negative number of seconds; caps it at 600 s.
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod caller_request;
 mod crash_check;
 mod event_splitter;
+mod open_connection;
 mod outbound;
 mod process_request;
 mod quota_reservation;
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -3,7 +3,7 @@
 use super::admission::{AdmissionError, AdmittedRequest, admit, quarantine_reason};
 use super::attempt::{AttemptEnd, attempt, return_to_pool};
 use super::attempt_guard::AttemptGuard;
-use super::crash_check::{check_for_crash, still_runs};
+use super::crash_check::{LossVerdict, check_for_crash, still_runs};
 use super::outbound::outbound_request;
 use super::relay::{Relay, RelayEnd, RelayOptions};
 use super::run_evidence::RunEvidence;
@@ -430,7 +430,10 @@
                 AttemptEnd::Complete { head, .. } => {
                     Some(head.status >= 500 || self.relay.has_started())
                 }
-                AttemptEnd::Lost { .. } => Some(true),
+                // Without another answer, the loss may be that of this node's own links.
+                AttemptEnd::Lost { .. } => {
+                    gateway.has_heard_other(self.sent_at, &target.id).then_some(true)
+                }
                 _ => None,
             });
         }
@@ -581,6 +584,7 @@
                 options,
                 |is_second| {
                     let now = Instant::now();
+                    gateway.record_heard(now, &target.id);
                     if let Some(evidence) = evidence {
                         evidence.record_events(now);
                     }
@@ -594,7 +598,9 @@
         let is_stalled = matches!(end, RelayEnd::Stalled { .. });
 
         if matches!(end, RelayEnd::Complete) {
-            end = if head.framing == BodyFraming::UntilClose && !still_runs(gateway, target).await {
+            end = if head.framing == BodyFraming::UntilClose
+                && !still_runs(gateway, target, connection.tunnel.as_ref()).await
+            {
                 RelayEnd::TargetFailed { reason: "target ended with the connection".to_string() }
             } else if self.relay.finish(caller, &stream_held).await.is_err() {
                 RelayEnd::CallerDisconnected
@@ -708,13 +714,17 @@
         let request = self.request.id(&self.gateway.header_names).unwrap_or_default().to_string();
         let check = check_for_crash(Rc::clone(self.gateway), Rc::clone(target), request, report);
         if !has_parts {
-            guard.end(RunEnd::Broken);
+            let links_worked = self.gateway.has_heard_other(self.sent_at, &target.id);
+            guard.end(if links_worked { RunEnd::Broken } else { RunEnd::Abandoned });
             actix_rt::spawn(check);
             return;
         }
         let check = actix_rt::spawn(async move {
-            let has_crashed = check.await;
-            guard.end(if has_crashed { RunEnd::Unreachable } else { RunEnd::Broken });
+            guard.end(match check.await {
+                LossVerdict::Crashed => RunEnd::Unreachable,
+                LossVerdict::Sound => RunEnd::Broken,
+                LossVerdict::Unknown => RunEnd::Abandoned,
+            });
         });
         if may_retry && !went_on {
             // The check goes on after the time that a retry waits for it.
