feat(dispatch): keep brittle targets up

Change: the node passes the header on in its status, and the owner of the queue keeps what a brittle target may turn away within what it bears (RejectionGuard, core). Targets that do not say that they are brittle are served as before.

Evidence: brittle_targets_stay_up_in_an_overload, virtual time: without what targets say 12 to 18 falls for room for 1 to 4 of 5 slots, 3 allowed; passes with it, with 60% of the room in use at least. brittle_target_turns_away_no_more_requests_than_it_bears: fails without the header being sent, passes with it.

--- a/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
+++ b/crates/agatecourse-core/src/request/dispatch/dispatcher.rs
@@ -285,6 +285,13 @@
         }
     }
 
+    /// Takes over how many requests a target has said it may turn away in a second before it falls over.
+    pub fn set_brittleness(&mut self, target: &TargetId, named: NamedLimit) {
+        if let Some(view) = self.targets.get_mut(target) {
+            view.set_brittleness(named);
+        }
+    }
+
     /// Gives a target no more requests, because it has told a node that it leaves. Does nothing if the process that said so has been
     /// replaced.
     pub fn set_leaving(&mut self, target: &TargetId, started_unix_ms: u64) {
--- a/crates/agatecourse-core/src/request/dispatch/mod.rs
+++ b/crates/agatecourse-core/src/request/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod offered_load;
 mod prefix_index;
 mod promised_places;
+mod rejection_guard;
 mod run_report;
 mod served_shares;
 mod service_profile;
--- a/crates/agatecourse-core/src/request/dispatch/target_signals.rs
+++ b/crates/agatecourse-core/src/request/dispatch/target_signals.rs
@@ -8,10 +8,10 @@
 /// that was out of reach for minutes.
 const KEPT_FOR: Duration = Duration::from_mins(10);
 
-/// Limit of a target's requests, as one of its responses named it.
+/// Limit that one of a target's responses named: of the requests that it takes, or of those that it can turn away.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct NamedLimit {
-    /// Requests per second that the target takes from all nodes together; `None` once it names no limit any more.
+    /// Requests per second of all nodes together; `None` once the target names no limit any more.
     pub per_s: Option<f64>,
     /// Time at which the response arrived.
     pub named_at: Instant,
@@ -22,6 +22,8 @@
 pub struct TargetSignal {
     /// Requests per second that the target takes from all nodes together; `None` if the response names no limit.
     pub limit_per_s: Option<f64>,
+    /// Requests per second that the target can turn away for want of room before it falls over; `None` if the response does not say that it is brittle.
+    pub brittle_per_s: Option<f64>,
     /// Time for which the target wants no request of the node that got the response; zero for none.
     pub pause: Duration,
     /// True if the target's process is about to leave.
@@ -30,9 +32,12 @@
 
 /// Which of a target's signals a response has changed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[allow(clippy::struct_excessive_bools, reason = "each signal changes independently of the others")]
 pub struct SignalChange {
     /// The limit has another value.
     pub limit: bool,
+    /// The number of requests that the target can turn away has another value.
+    pub brittleness: bool,
     /// The pause ends later than before.
     pub pause: bool,
     /// The target has become one that leaves.
@@ -42,7 +47,7 @@
 impl SignalChange {
     /// Returns whether anything has changed.
     pub fn any(self) -> bool {
-        self.limit || self.pause || self.leaving
+        self.limit || self.brittleness || self.pause || self.leaving
     }
 }
 
@@ -61,6 +66,7 @@
 struct Record {
     started_unix_ms: u64,
     limit: Option<NamedLimit>,
+    brittleness: Option<NamedLimit>,
     paused_until: Option<Instant>,
     is_leaving: bool,
     updated: Instant,
@@ -102,6 +108,7 @@
             let record = Record {
                 started_unix_ms,
                 limit: None,
+                brittleness: None,
                 paused_until: None,
                 is_leaving: false,
                 updated: now,
@@ -110,13 +117,11 @@
         }
         let Some(record) = self.by_target.get_mut(target) else { return SignalChange::default() };
         record.updated = now;
-        let mut change = SignalChange::default();
-        let is_outdated = signal.limit_per_s.is_none()
-            && record.limit.is_none_or(|known| sent_at <= known.named_at);
-        if !is_outdated {
-            change.limit = record.limit.and_then(|known| known.per_s) != signal.limit_per_s;
-            record.limit = Some(NamedLimit { per_s: signal.limit_per_s, named_at: now });
-        }
+        let mut change = SignalChange {
+            limit: update_limit(&mut record.limit, now, sent_at, signal.limit_per_s),
+            brittleness: update_limit(&mut record.brittleness, now, sent_at, signal.brittle_per_s),
+            ..SignalChange::default()
+        };
         let paused_until = now + signal.pause;
         if !signal.pause.is_zero() && record.paused_until.is_none_or(|until| until < paused_until) {
             change.pause = true;
@@ -132,6 +137,11 @@
         self.get(target, started_unix_ms)?.limit
     }
 
+    /// Returns how many requests a target can turn away in a second, if its process has ever said that it is brittle.
+    pub fn brittleness(&self, target: &TargetId, started_unix_ms: u64) -> Option<NamedLimit> {
+        self.get(target, started_unix_ms)?.brittleness
+    }
+
     /// Returns why this node may not send requests to a target, `None` if it may.
     pub fn closure(
         &self,
@@ -164,3 +174,18 @@
         }
     }
 }
+
+/// Takes over the limit that a response names; returns whether its value is another one. A response without a limit to a request that was sent before the limit was
+/// named changes nothing.
+fn update_limit(
+    known: &mut Option<NamedLimit>,
+    now: Instant,
+    sent_at: Instant,
+    per_s: Option<f64>,
+) -> bool {
+    if per_s.is_none() && known.is_none_or(|known| sent_at <= known.named_at) {
+        return false;
+    }
+    let before = known.replace(NamedLimit { per_s, named_at: now });
+    before.and_then(|before| before.per_s) != per_s
+}
--- a/crates/agatecourse-core/src/request/dispatch/target_view.rs
+++ b/crates/agatecourse-core/src/request/dispatch/target_view.rs
@@ -1,5 +1,6 @@
 use super::cold_start::ColdLimiter;
 use super::prefix_index::TargetNumber;
+use super::rejection_guard::RejectionGuard;
 use super::{JobKey, NamedLimit, RunEnd, RunReport};
 use crate::request::{SuspectKey, TokenBucket};
 use agatecourse_types::{NodeId, TargetId};
@@ -86,6 +87,8 @@
     limit: Option<NamedLimit>,
     /// Enforces the limit; `None` while there is none.
     bucket: Option<TokenBucket>,
+    /// Keeps the requests below what the target turns away, if that brings it down.
+    rejections: RejectionGuard,
     /// Keeps the requests below what the target takes while it is cold.
     pub(super) cold: ColdLimiter,
     /// True once the target has told a node that it leaves.
@@ -107,6 +110,7 @@
             number,
             limit: None,
             bucket: None,
+            rejections: RejectionGuard::default(),
             cold: ColdLimiter::default(),
             is_leaving: false,
             paused_nodes: BTreeMap::new(),
@@ -124,7 +128,9 @@
             return 0;
         }
         // After a pause a single request probes whether the target is reachable again.
-        let slots = if self.pause.is_zero() { self.spec.slots } else { 1 };
+        let granted = self.runs.values().map(|run| run.granted);
+        let slots = self.rejections.most_runs(now, self.spec.slots, granted);
+        let slots = if self.pause.is_zero() { slots } else { slots.min(1) };
         slots.saturating_sub(self.runs.len() as u32)
     }
 
@@ -145,6 +151,11 @@
         bucket.set_rate(now, rate_per_s, burst);
     }
 
+    /// Takes over how many requests the target may turn away in a second, unless something newer is known.
+    pub(super) fn set_brittleness(&mut self, named: NamedLimit) {
+        self.rejections.set_named(named);
+    }
+
     /// Marks the target as leaving; it gets no requests any more.
     pub(super) fn set_leaving(&mut self) {
         self.is_leaving = true;
@@ -232,7 +243,11 @@
                 }
                 return;
             }
-            RunEnd::Rejected | RunEnd::Abandoned => return,
+            RunEnd::Rejected => {
+                self.rejections.record_rejection(now, self.runs.len());
+                return;
+            }
+            RunEnd::Abandoned => return,
         };
         self.failure_share += LEARNING_RATE * (1.0 - self.failure_share);
         self.failures_in_a_row = (self.failures_in_a_row + added).min(MAX_FAILURES_IN_A_ROW);
--- a/crates/agatecourse-core/tests/dispatcher/main.rs
+++ b/crates/agatecourse-core/tests/dispatcher/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher in virtual time.
 
+mod brittle_targets;
 mod cold_starts;
 mod decisions;
 mod fair_order;
--- a/crates/agatecourse-gateway/src/connection/header_names.rs
+++ b/crates/agatecourse-gateway/src/connection/header_names.rs
@@ -15,6 +15,8 @@
     pub not_run: String,
     /// Requests per second that a target takes from all nodes together, for as long as its responses say so.
     pub target_limit: String,
+    /// Requests per second that a brittle target can turn away for want of room before it falls over, for as long as its responses say so.
+    pub target_brittleness: String,
     /// Present in the responses of a target that is about to leave.
     pub target_leaving: String,
     /// Id of the last event that was received, after which a stream resumes.
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -240,8 +240,9 @@
                 }
                 self.send_decisions(now, decisions, actions);
             }
-            PeerMessage::Status { queue, waiting, running, limits, closures } => {
+            PeerMessage::Status { queue, waiting, running, limits, closures, brittle } => {
                 self.on_closures(now, from, &queue, &closures);
+                self.on_brittleness(now, from, &queue, &brittle);
                 self.on_limits(now, from, &queue, &limits, actions);
                 self.on_status(now, from, &queue, &waiting, &running, actions);
             }
@@ -504,6 +505,9 @@
                 if let Some(limit) = signals.limit(&target.id, target.started_unix_ms) {
                     dispatcher.set_limit(now, &target.id, limit, &mut Vec::new());
                 }
+                if let Some(named) = signals.brittleness(&target.id, target.started_unix_ms) {
+                    dispatcher.set_brittleness(&target.id, named);
+                }
             }
             dispatcher
         })
@@ -578,6 +582,7 @@
         }
         let mut limits = self.limit_notices(now, queue);
         let mut closures = self.closure_notices(now, queue);
+        let mut brittle = self.brittleness_notices(now, queue);
         // Long names of targets can make the message too long to be decoded. What is left out is only known to the owner later.
         let run_bytes: usize =
             running.iter().map(|(_, target)| target.len() + STATUS_ENTRY_BYTES).sum();
@@ -591,8 +596,9 @@
         };
         closures.retain(|notice| fits(&notice.target));
         limits.retain(|notice| fits(&notice.target));
+        brittle.retain(|notice| fits(&notice.target));
         let queue = queue.to_string();
-        let message = PeerMessage::Status { queue, waiting, running, limits, closures };
+        let message = PeerMessage::Status { queue, waiting, running, limits, closures, brittle };
         self.send_or_handle(now, owner.clone(), message, actions);
     }
 
--- a/crates/agatecourse-gateway/src/process/coordinator/target_signals.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/target_signals.rs
@@ -1,7 +1,7 @@
 use super::{Coordinator, CoordinatorAction};
 use crate::process::{ClosureNotice, LimitNotice};
 use agatecourse_core::request::dispatch::{
-    Closure, DispatchTarget, NamedLimit, SignalChange, TargetSignal,
+    Closure, DispatchTarget, NamedLimit, SignalChange, TargetSignal, TargetSignals,
 };
 use agatecourse_types::{NodeId, TargetId};
 use std::time::{Duration, Instant};
@@ -57,14 +57,26 @@
     ) {
         let mut decisions = Vec::new();
         for notice in limits {
-            let age = Duration::from_millis(notice.age_ms);
-            let named_at = now.checked_sub(age).unwrap_or(now);
-            let limit = NamedLimit { per_s: notice.per_s, named_at };
+            let limit = decode_limit(now, notice);
             self.dispatcher(now, from, queue).set_limit(now, &notice.target, limit, &mut decisions);
         }
         self.send_decisions(now, decisions, actions);
     }
 
+    /// Passes the brittle targets of a node's status to the queue.
+    pub(super) fn on_brittleness(
+        &mut self,
+        now: Instant,
+        from: &NodeId,
+        queue: &str,
+        brittle: &[LimitNotice],
+    ) {
+        for notice in brittle {
+            let named = decode_limit(now, notice);
+            self.dispatcher(now, from, queue).set_brittleness(&notice.target, named);
+        }
+    }
+
     /// Passes the closed targets of a node's status to the queue.
     pub(super) fn on_closures(
         &mut self,
@@ -88,11 +100,25 @@
 
     /// Returns the limits that targets of a queue have named to this node, the newest first.
     pub(super) fn limit_notices(&self, now: Instant, queue: &str) -> Vec<LimitNotice> {
+        self.notices(now, queue, TargetSignals::limit)
+    }
+
+    /// Returns the targets of a queue that have told this node that they are brittle, or no longer are, the newest first.
+    pub(super) fn brittleness_notices(&self, now: Instant, queue: &str) -> Vec<LimitNotice> {
+        self.notices(now, queue, TargetSignals::brittleness)
+    }
+
+    fn notices(
+        &self,
+        now: Instant,
+        queue: &str,
+        named: impl Fn(&TargetSignals, &TargetId, u64) -> Option<NamedLimit>,
+    ) -> Vec<LimitNotice> {
         let mut limits: Vec<(&TargetId, NamedLimit)> = self
             .queue_targets(queue)
             .iter()
             .filter_map(|target| {
-                Some((&target.id, self.signals.limit(&target.id, target.started_unix_ms)?))
+                Some((&target.id, named(&self.signals, &target.id, target.started_unix_ms)?))
             })
             .collect();
         limits.sort_by_key(|(_, limit)| std::cmp::Reverse(limit.named_at));
@@ -127,3 +153,8 @@
         self.targets.get(queue).map_or(&[][..], Vec::as_slice)
     }
 }
+
+fn decode_limit(now: Instant, notice: &LimitNotice) -> NamedLimit {
+    let age = Duration::from_millis(notice.age_ms);
+    NamedLimit { per_s: notice.per_s, named_at: now.checked_sub(age).unwrap_or(now) }
+}
--- a/crates/agatecourse-gateway/src/process/gateway_signals.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_signals.rs
@@ -6,6 +6,9 @@
 use slog::{info, warn};
 use std::time::{Duration, Instant};
 
+/// Error for a number in a response that can't be used.
+struct InvalidNumber;
+
 /// Signals of targets in their responses: request limits, pauses and departures.
 impl Gateway {
     /// Records what a response of a target says about later requests: the limit that it names, the pause that it asks for when it
@@ -18,15 +21,11 @@
         head: &ResponseHead,
     ) {
         let names = &self.header_names;
-        let named_limit = head.headers.get(&names.target_limit);
-        let limit_per_s = match named_limit.map(str::parse::<f64>) {
-            Some(Ok(per_s)) if per_s.is_finite() && per_s >= 0.0 => Some(per_s),
-            None => None,
-            Some(_) => {
-                warn!(self.log, "target names an invalid request limit"; "target" => &target.id,
-                    "request" => request, "limit" => named_limit);
-                return;
-            }
+        let (Ok(limit_per_s), Ok(brittle_per_s)) = (
+            self.named_per_s(target, request, head, &names.target_limit),
+            self.named_per_s(target, request, head, &names.target_brittleness),
+        ) else {
+            return;
         };
         let named_pause = head.headers.get("retry-after").filter(|_| head.status == 503);
         let pause = named_pause.map_or(Some(Duration::ZERO), parse_seconds).unwrap_or_else(|| {
@@ -35,7 +34,7 @@
             Duration::ZERO
         });
         let is_leaving = head.headers.get(&names.target_leaving).is_some_and(|value| value != "0");
-        let signal = TargetSignal { limit_per_s, pause, is_leaving };
+        let signal = TargetSignal { limit_per_s, brittle_per_s, pause, is_leaving };
         let (now, mut actions) = (Instant::now(), Vec::new());
         let change = self.coordinator.borrow_mut().record_signal(
             now,
@@ -49,6 +48,10 @@
             info!(self.log, "target limit changed"; "target" => &target.id, "service" => &target.service,
                 "requests_per_s" => limit_per_s, "request" => request);
         }
+        if change.brittleness {
+            info!(self.log, "target brittleness changed"; "target" => &target.id, "service" => &target.service,
+                "rejections_per_s" => brittle_per_s, "request" => request);
+        }
         if change.pause || change.leaving {
             info!(self.log, "target closed to this node"; "target" => &target.id, "service" => &target.service,
                 "pause_ms" => pause.as_millis() as u64, "leaving" => is_leaving, "status" => head.status,
@@ -56,6 +59,25 @@
         }
     }
 
+    /// Returns the number per second that a response names in a header, `None` if it has none, or an error if the number is invalid.
+    fn named_per_s(
+        &self,
+        target: &Target,
+        request: &str,
+        head: &ResponseHead,
+        header: &str,
+    ) -> Result<Option<f64>, InvalidNumber> {
+        let Some(text) = head.headers.get(header) else { return Ok(None) };
+        match text.parse::<f64>() {
+            Ok(per_s) if per_s.is_finite() && per_s >= 0.0 => Ok(Some(per_s)),
+            _ => {
+                warn!(self.log, "target names an invalid number"; "target" => &target.id,
+                    "request" => request, "header" => header, "value" => text);
+                Err(InvalidNumber)
+            }
+        }
+    }
+
     /// Returns why this node may not send requests to a target, `None` if it may.
     pub(crate) fn target_closure(&self, target: &Target) -> Option<Closure> {
         if self.is_evacuated(&target.zone) {
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -150,12 +150,12 @@
     pub age_ms: u64,
 }
 
-/// A limit of a target's requests, with an age in place of a time because the clocks of nodes differ.
+/// A limit that a target has named, with an age in place of a time because the clocks of nodes differ.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LimitNotice {
     /// Target that has named the limit.
     pub target: TargetId,
-    /// Requests per second that the target takes from all nodes together; `None` once it names no limit any more.
+    /// Requests per second of all nodes together; `None` once the target names no limit any more.
     pub per_s: Option<f64>,
     /// Time since the target named it, in milliseconds.
     pub age_ms: u64,
@@ -281,6 +281,9 @@
         limits: Vec<LimitNotice>,
         /// Targets of the queue that take no requests of the sender.
         closures: Vec<ClosureNotice>,
+        // Nodes before brittle targets end a status here.
+        /// Targets of the queue that are brittle, with the requests per second that they can turn away.
+        brittle: Vec<LimitNotice>,
     },
     /// A target crashed with a request of the sender on it.
     Crash(CrashNotice),
--- a/crates/agatecourse-gateway/src/request/suspect_keys/tests.rs
+++ b/crates/agatecourse-gateway/src/request/suspect_keys/tests.rs
@@ -14,6 +14,7 @@
         response_proof: "proof".to_string(),
         not_run: "not-run".to_string(),
         target_limit: "limit".to_string(),
+        target_brittleness: String::new(),
         target_leaving: String::new(),
         last_event_id: "last-event-id".to_string(),
         token_count: "tokens".to_string(),
