fix(gateway): judge a lost answer by the check of its target, and leave tunnels of nodes that stop

A lost answer counted against the version of its target only if another target had been heard meanwhile, so that nodes with little load would have counted fewer failures of a bad version; the evidence now waits for the check of the target, which shows whether the links of this node work. Idle tunnels through a node that stops were used again until its exit; they are closed with the heartbeat that says so.

planned_stop_of_the_node_on_the_way_costs_no_request passes with and without the change, it guards only. Tests of stranded nodes, faulty targets and crashing parts pass.

--- a/crates/agatecourse-gateway/src/connection/target_pool.rs
+++ b/crates/agatecourse-gateway/src/connection/target_pool.rs
@@ -1,5 +1,5 @@
 use super::TargetConnection;
-use agatecourse_types::TargetId;
+use agatecourse_types::{NodeId, TargetId};
 use bytes::BytesMut;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -67,6 +67,15 @@
         self.idle.clear();
     }
 
+    /// Closes the idle connections that run through a node.
+    pub(crate) fn close_tunnels(&mut self, node: &NodeId) {
+        for idle in self.idle.values_mut() {
+            idle.retain(|connection| {
+                connection.tunnel.as_ref().is_none_or(|link| link.node != *node)
+            });
+        }
+    }
+
     /// Closes the idle connections to a target after one of its connections failed.
     pub(crate) fn remove_target(&mut self, target: &TargetId) {
         self.idle.remove(target);
--- a/crates/agatecourse-gateway/src/process/gateway_paths.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_paths.rs
@@ -117,15 +117,26 @@
         send_heartbeats(self, now);
     }
 
-    /// Returns a connection that may be reused to the pool, unless it does not run on the present path to the target.
+    /// Closes the idle tunnels through a node that serves none any more, for example because it stops, so that no request is sent on them.
+    pub(super) fn close_tunnels_of(&self, node: &NodeId) {
+        self.pool.borrow_mut().close_tunnels(node);
+    }
+
+    /// Returns a connection that may be reused to the pool, unless it does not run on the present path to the target or its node serves no tunnels any more.
     pub(crate) fn pool_connection(
         &self,
         target: &TargetId,
         connection: TargetConnection,
         stated_idle: Option<Duration>,
     ) {
-        let is_tunnel = connection.tunnel.is_some();
-        if is_tunnel == (self.target_path(target) == TargetPath::Detour) {
+        let is_on_path = match &connection.tunnel {
+            None => self.target_path(target) == TargetPath::Direct,
+            Some(link) => {
+                self.target_path(target) == TargetPath::Detour
+                    && self.members.borrow().serves_tunnels(&link.node)
+            }
+        };
+        if is_on_path {
             self.pool.borrow_mut().put(target, connection, stated_idle, Instant::now());
         }
     }
--- a/crates/agatecourse-gateway/src/process/members.rs
+++ b/crates/agatecourse-gateway/src/process/members.rs
@@ -241,6 +241,11 @@
         serving.map(|(node, member)| (node, member.address))
     }
 
+    /// Returns whether a node opens tunnels to targets for others, as its last heartbeat says.
+    pub fn serves_tunnels(&self, node: &NodeId) -> bool {
+        self.known.get(node).is_some_and(|member| member.serves_tunnels)
+    }
+
     /// Returns whether there are so many live nodes, with this one, that not all follow the source of documents.
     fn is_large(&self, now: Instant) -> bool {
         self.live_members(now).count() >= MAX_NODES_WITHOUT_RELAYS
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -173,6 +173,9 @@
         members.add_lost_elsewhere(now, &lost.node, lost.address, silence);
     }
     drop(members);
+    if !heartbeat.serves_tunnels {
+        gateway.close_tunnels_of(from);
+    }
     if was_lost {
         info!(gateway.log, "lost node found again"; "member" => from, "started_unix_ms" => heartbeat.started_unix_ms);
         gateway.refresh_members(now);
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -425,15 +425,12 @@
         let is_closed = matches!(end, AttemptEnd::Closed { .. });
         self.unsent_attempts += u32::from(!sent && !is_closed);
         // The answer of a stream is good once the stream has ended well.
-        if !matches!(end, AttemptEnd::Stream { .. }) {
+        // What a lost answer says is known once its target was checked.
+        if !matches!(end, AttemptEnd::Stream { .. } | AttemptEnd::Lost { .. }) {
             self.end_evidence(match &end {
                 AttemptEnd::Complete { head, .. } => {
                     Some(head.status >= 500 || self.relay.has_started())
                 }
-                // Without another answer, the loss may be that of this node's own links.
-                AttemptEnd::Lost { .. } => {
-                    gateway.has_heard_other(self.sent_at, &target.id).then_some(true)
-                }
                 _ => None,
             });
         }
@@ -613,7 +610,9 @@
             RelayEnd::CallerDisconnected => {}
             // A shortage of this node says nothing about the version of the target.
             RelayEnd::MemoryFull { .. } => self.end_evidence(None),
-            _ => self.end_evidence(Some(!matches!(end, RelayEnd::Complete))),
+            RelayEnd::Complete => self.end_evidence(Some(false)),
+            // `end_lost_run` reports these.
+            RelayEnd::TargetFailed { .. } | RelayEnd::Stalled { .. } => {}
         }
         if let Some(first) = self.relay.first_event {
             let elapsed = first.saturating_duration_since(self.request.arrived);
@@ -695,9 +694,9 @@
     /// Ends the attempt of a lost run as soon as it is known whether its target has crashed. If a retry may follow, waits for that, so
     /// that the retry takes account of the crash.
     ///
-    /// The attempts of requests without prompt parts end at once, as their objectives are shorter than the check. A stream that went
+    /// The attempts of requests without prompt parts end at once if the links of this node work, as their objectives are shorter than the check. A stream that went
     /// on is resumed without the wait, which would add to the pause between its events.
-    async fn end_lost_run(&self, target: &Rc<Target>, guard: AttemptGuard, went_on: bool) {
+    async fn end_lost_run(&mut self, target: &Rc<Target>, guard: AttemptGuard, went_on: bool) {
         let mut keys = self.admitted.suspect_keys.clone();
         let has_parts = keys.len() > 1;
         if went_on {
@@ -713,9 +712,18 @@
         let may_retry = self.admitted.route.kind.is_repeatable() && self.has_attempts_left();
         let request = self.request.id(&self.gateway.header_names).unwrap_or_default().to_string();
         let check = check_for_crash(Rc::clone(self.gateway), Rc::clone(target), request, report);
-        if !has_parts {
-            let links_worked = self.gateway.has_heard_other(self.sent_at, &target.id);
-            guard.end(if links_worked { RunEnd::Broken } else { RunEnd::Abandoned });
+        let evidence = self.evidence.take();
+        let check = async move {
+            let verdict = check.await;
+            match evidence {
+                Some(evidence) if verdict == LossVerdict::Unknown => evidence.discard(),
+                Some(evidence) => evidence.end(true),
+                None => {}
+            }
+            verdict
+        };
+        if !has_parts && self.gateway.has_heard_other(self.sent_at, &target.id) {
+            guard.end(RunEnd::Broken);
             actix_rt::spawn(check);
             return;
         }
@@ -726,7 +734,7 @@
                 LossVerdict::Unknown => RunEnd::Abandoned,
             });
         });
-        if may_retry && !went_on {
+        if has_parts && may_retry && !went_on {
             // The check goes on after the time that a retry waits for it.
             let _ = tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await;
         }
