fix(gateway): end lost runs without prompt parts at once again

The retry of a suspect waits for such a run, so a request got its answer only after the check, which the objectives of such requests are too short for.

--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -694,8 +694,8 @@
     /// Ends the attempt of a lost run as soon as it is known whether its target has crashed. If a retry may follow, waits for that, so
     /// that the retry takes account of the crash.
     ///
-    /// The attempts of requests without prompt parts end at once if the links of this node work, as their objectives are shorter than the check. A stream that went
-    /// on is resumed without the wait, which would add to the pause between its events.
+    /// The attempts of requests without prompt parts end at once, as their objectives are shorter than the check; they count against the target only if
+    /// another one was heard meanwhile. A stream that went on is resumed without the wait, which would add to the pause between its events.
     async fn end_lost_run(&mut self, target: &Rc<Target>, guard: AttemptGuard, went_on: bool) {
         let mut keys = self.admitted.suspect_keys.clone();
         let has_parts = keys.len() > 1;
@@ -722,8 +722,9 @@
             }
             verdict
         };
-        if !has_parts && self.gateway.has_heard_other(self.sent_at, &target.id) {
-            guard.end(RunEnd::Broken);
+        if !has_parts {
+            let links_work = self.gateway.has_heard_other(self.sent_at, &target.id);
+            guard.end(if links_work { RunEnd::Broken } else { RunEnd::Abandoned });
             actix_rt::spawn(check);
             return;
         }
@@ -734,7 +735,7 @@
                 LossVerdict::Unknown => RunEnd::Abandoned,
             });
         });
-        if has_parts && may_retry && !went_on {
+        if may_retry && !went_on {
             // The check goes on after the time that a retry waits for it.
             let _ = tokio::time::timeout(CRASH_CHECK_TIMEOUT, check).await;
         }
