--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -1,6 +1,7 @@
 use super::{
-    BodyReader, CompleteResponse, HeadError, RequestHead, parse_request_head, read_some,
-    set_socket_options, unparsed_method, write_to_caller,
+    BodyReader, CompleteResponse, HeadError, PeerWatch, RequestHead, WATCH_INTERVAL,
+    parse_request_head, read_some, set_socket_options, unparsed_method, wait_until_lost,
+    write_to_caller,
 };
 use crate::budget::{BudgetFull, ByteUse, CallerSlot, Eviction, HeldBytes, RequestBody};
 use crate::process::Gateway;
@@ -25,8 +26,6 @@
 const DRAINED_IDLE_TIME: Duration = Duration::from_millis(300);
 /// Longest wait for the next bytes of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest time to write a response to a caller that reads slowly.
-const WRITE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Time for which the rest of a rejected request is read and discarded, so that closing the connection does not reset it before the caller
 /// has read the response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
@@ -139,9 +138,9 @@
             tokio::select! {
                 biased;
                 reply = processed => reply,
-                () = disconnected => {
+                disconnect = disconnected => {
                     info!(gateway.log, "caller left"; "request" => request.id(&gateway.header_names),
-                        "elapsed_ms" => request.arrived.elapsed().as_millis() as u64);
+                        "elapsed_ms" => request.arrived.elapsed().as_millis() as u64, "how" => format!("{disconnect:?}"));
                     return false;
                 }
             }
@@ -167,10 +166,14 @@
         }
     }
 
-    /// Writes bytes to the caller; returns false when that fails or exceeds [`WRITE_TIMEOUT`].
+    /// Writes bytes to the caller; returns false when that fails or the caller is lost.
     async fn write_bytes(&mut self, bytes: &[u8]) -> bool {
-        let write = write_to_caller(&mut self.write, bytes, &self.slot);
-        matches!(tokio::time::timeout(WRITE_TIMEOUT, write).await, Ok(Ok(())))
+        let written = write_to_caller(&mut self.write, bytes, &self.slot);
+        tokio::select! {
+            biased;
+            written = written => written.is_ok(),
+            () = wait_until_lost(self.read.as_ref()) => false,
+        }
     }
 
     /// Writes an error response to a request that was not read completely, and closes the connection.
@@ -390,21 +393,43 @@
     read_some(read, buffer).await
 }
 
-/// Completes when the caller closes or resets its connection; buffers pipelined requests meanwhile.
-async fn wait_for_disconnect(read: &mut OwnedReadHalf, buffer: &mut BytesMut, held: &HeldBytes) {
+/// How a caller left while its request was at work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Disconnect {
+    /// It closed or reset the connection.
+    Closed,
+    /// It acknowledges nothing any more.
+    Lost,
+}
+
+/// Completes when the caller closes or resets its connection or is lost; buffers pipelined requests meanwhile.
+async fn wait_for_disconnect(
+    read: &mut OwnedReadHalf,
+    buffer: &mut BytesMut,
+    held: &HeldBytes,
+) -> Disconnect {
+    let mut watch = PeerWatch::new();
+    let first_reading = tokio::time::Instant::now() + WATCH_INTERVAL;
+    let mut next_reading = tokio::time::interval_at(first_reading, WATCH_INTERVAL);
+    let mut buffers_more = true;
     loop {
-        if buffer.len() > MAX_PIPELINED_BYTES {
-            // A full buffer is not read further, so a disconnect is no longer noticed.
-            std::future::pending::<()>().await;
-        }
-        match read_when_ready(read, buffer).await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
-        }
-        let byte_use = ByteUse::Request { total_bytes: buffer.len() };
-        if held.resize(buffer.capacity(), byte_use).is_err() {
-            // The request at work goes on; what its caller sends next is left in the socket.
-            std::future::pending::<()>().await;
+        // A full buffer is not read further, so a close is no longer noticed.
+        buffers_more &= buffer.len() <= MAX_PIPELINED_BYTES;
+        tokio::select! {
+            biased;
+            read = read_when_ready(read, buffer), if buffers_more => match read {
+                Ok(0) | Err(_) => return Disconnect::Closed,
+                Ok(_) => {
+                    let byte_use = ByteUse::Request { total_bytes: buffer.len() };
+                    // The request at work goes on; what its caller sends next is left in the socket.
+                    buffers_more = held.resize(buffer.capacity(), byte_use).is_ok();
+                }
+            },
+            _ = next_reading.tick() => {
+                if watch.check(Instant::now(), read.as_ref()) {
+                    return Disconnect::Lost;
+                }
+            }
         }
     }
 }
--- a/crates/agatecourse-gateway/src/connection/mod.rs
+++ b/crates/agatecourse-gateway/src/connection/mod.rs
@@ -6,9 +6,13 @@
 mod complete_response;
 mod head;
 mod header_names;
+mod peer_watch;
 mod simple_client;
+mod socket_options;
 mod target_connection;
 mod target_pool;
+mod target_stream;
+mod tcp_state;
 mod tunnel;
 
 pub(crate) use body::{BodyFraming, BodyReader, read_some};
@@ -20,9 +24,13 @@
     HeadError, Headers, RequestHead, ResponseHead, parse_request_head, parse_response_head,
 };
 pub use header_names::HeaderNames;
+pub(crate) use peer_watch::{PeerWatch, WATCH_INTERVAL, wait_until_lost};
 pub use simple_client::{CallError, SimpleClient};
-pub(crate) use target_connection::{ResponseError, TargetConnection, set_socket_options};
+pub(crate) use socket_options::{set_socket_options, set_user_timeout};
+pub(crate) use target_connection::{ResponseError, TargetConnection};
 pub(crate) use target_pool::TargetPool;
+pub(crate) use target_stream::TargetStream;
+pub(crate) use tcp_state::TcpState;
 pub(crate) use tunnel::{
     NODE_HEADER, NODE_START_HEADER, TARGET_START_HEADER, TUNNEL_PATH_PREFIX, TunnelError,
     TunnelLink, TunnelTarget, connect_through,
--- a/crates/agatecourse-gateway/src/connection/simple_client.rs
+++ b/crates/agatecourse-gateway/src/connection/simple_client.rs
@@ -1,6 +1,6 @@
 use super::{
     BodyReader, HeadError, MAX_RESPONSE_HEAD_BYTES, ResponseHead, parse_response_head, read_some,
-    set_socket_options,
+    set_socket_options, set_user_timeout,
 };
 use bytes::BytesMut;
 use snafu::Snafu;
@@ -92,7 +92,9 @@
             Some(stream) => stream,
             None => TcpStream::connect(self.address).await.map_err(failed)?,
         };
-        set_socket_options(&stream).map_err(failed)?;
+        set_socket_options(&stream)
+            .and_then(|()| set_user_timeout(&stream, true))
+            .map_err(failed)?;
         let mut request =
             format!("{method} {path} HTTP/1.1\r\nHost: {}\r\n", self.address).into_bytes();
         if method != "GET" {
--- a/crates/agatecourse-gateway/src/connection/target_connection.rs
+++ b/crates/agatecourse-gateway/src/connection/target_connection.rs
@@ -1,6 +1,7 @@
 use super::tunnel::TunnelLink;
 use super::{
-    BodyReader, HeadError, MAX_RESPONSE_HEAD_BYTES, ResponseHead, parse_response_head, read_some,
+    BodyReader, HeadError, MAX_RESPONSE_HEAD_BYTES, ResponseHead, TargetStream,
+    parse_response_head, read_some,
 };
 use crate::budget::SocketPermit;
 use bytes::BytesMut;
@@ -12,12 +13,6 @@
 
 /// Timeout for opening a connection; the latency between the users' zones is below 2 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// TCP user timeout: unacknowledged bytes close the connection, so a request does not hang on a host without power.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Idle time before the first TCP keep-alive probe, and interval between probes.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keep-alive probes after which the connection is closed.
-const MAX_UNANSWERED_PROBES: u32 = 2;
 /// Largest number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 /// Largest number of responses with another request id that are skipped on a connection.
@@ -57,7 +52,7 @@
 /// Connection to a target with one request in flight at a time.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
-    pub(crate) stream: TcpStream,
+    pub(crate) stream: TargetStream,
     pub(crate) buffer: BytesMut,
     pub(crate) idle_since: Instant,
     pub(crate) idle_limit: Duration,
@@ -68,15 +63,19 @@
 
 impl TargetConnection {
     /// Creates a direct connection from a connected socket.
-    pub(super) fn new(stream: TcpStream, permit: SocketPermit) -> Self {
-        Self {
-            stream,
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the kernel when the options of the socket can't be set.
+    pub(super) fn new(stream: TcpStream, permit: SocketPermit) -> std::io::Result<Self> {
+        Ok(Self {
+            stream: TargetStream::new(stream)?,
             buffer: BytesMut::new(),
             idle_since: Instant::now(),
             idle_limit: Duration::ZERO,
             tunnel: None,
             _permit: permit,
-        }
+        })
     }
 
     /// Makes it a connection through a node, with bytes that were already read.
@@ -93,17 +92,12 @@
             .await
             .map_err(|_| ConnectError::Timeout)?
             .map_err(|source| ConnectError::Failed { source })?;
-        set_socket_options(&stream).map_err(|source| ConnectError::Failed { source })?;
-        Ok(Self::new(stream, permit))
+        Self::new(stream, permit).map_err(|source| ConnectError::Failed { source })
     }
 
     /// Returns whether an idle connection is open and has no unexpected bytes to read.
-    pub(crate) fn is_reusable(&mut self) -> bool {
-        if !self.buffer.is_empty() {
-            return false;
-        }
-        let mut probe = [0_u8; 1];
-        matches!(self.stream.try_read(&mut probe), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    pub(crate) fn is_reusable(&self) -> bool {
+        self.buffer.is_empty() && self.stream.is_open_and_empty()
     }
 
     /// Sends bytes; sets `sent` before the first write, so that it is valid also after an error or a cancellation.
@@ -174,15 +168,3 @@
         if head.closes { Err(ResponseError::Ended) } else { Ok(()) }
     }
 }
-
-/// Sets no-delay, user timeout and keep-alive as on all TCP connections of a node.
-pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = socket2::SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let keep_alive = socket2::TcpKeepalive::new()
-        .with_time(KEEP_ALIVE_INTERVAL)
-        .with_interval(KEEP_ALIVE_INTERVAL)
-        .with_retries(MAX_UNANSWERED_PROBES);
-    socket.set_tcp_keepalive(&keep_alive)
-}
--- a/crates/agatecourse-gateway/src/connection/target_pool.rs
+++ b/crates/agatecourse-gateway/src/connection/target_pool.rs
@@ -21,7 +21,7 @@
     /// Takes the most recently used connection to a target that is still reusable.
     pub(crate) fn take(&mut self, target: &TargetId, now: Instant) -> Option<TargetConnection> {
         let idle = self.idle.get_mut(target)?;
-        while let Some(mut connection) = idle.pop() {
+        while let Some(connection) = idle.pop() {
             let is_within_idle_limit =
                 now.saturating_duration_since(connection.idle_since) < connection.idle_limit;
             if is_within_idle_limit && connection.is_reusable() {
--- /dev/null
+++ b/crates/agatecourse-gateway/src/connection/target_stream.rs
@@ -0,0 +1,109 @@
+use super::{PeerWatch, WATCH_INTERVAL, set_socket_options, set_user_timeout};
+use std::io::{Error, ErrorKind, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+/// Bytes of a connection to a target, which notices that the target is gone.
+///
+/// The kernel notices that by a user timeout. It is off for a long request, of which a target that reads slowly leaves a part in the buffers;
+/// the stream watches the acknowledgements itself then.
+#[derive(Debug)]
+pub(crate) struct TargetStream {
+    tcp: TcpStream,
+    /// Watch of the target with the time of its next reading; `None` while the user timeout is on.
+    watch: Option<(PeerWatch, Pin<Box<Sleep>>)>,
+}
+
+impl TargetStream {
+    /// Creates a stream from a connected socket and sets the options of the socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the kernel, for example for a connection that has failed.
+    pub(crate) fn new(tcp: TcpStream) -> Result<Self> {
+        set_socket_options(&tcp)?;
+        set_user_timeout(&tcp, true)?;
+        Ok(Self { tcp, watch: None })
+    }
+
+    /// Prepares for a request; `is_long` says whether it may not fit the target's window.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the kernel, for example for a connection that has failed.
+    pub(crate) fn begin_request(&mut self, is_long: bool) -> Result<()> {
+        if is_long != self.watch.is_some() {
+            set_user_timeout(&self.tcp, !is_long)?;
+        }
+        self.watch =
+            is_long.then(|| (PeerWatch::new(), Box::pin(tokio::time::sleep(WATCH_INTERVAL))));
+        Ok(())
+    }
+
+    /// Returns whether the connection is open and has no unexpected bytes to read.
+    pub(crate) fn is_open_and_empty(&self) -> bool {
+        let mut probe = [0_u8; 1];
+        matches!(self.tcp.try_read(&mut probe), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Returns the socket, for bytes that are forwarded as they are. Switches its user timeout off, as such bytes may be read slowly; who
+    /// forwards them watches the target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the kernel, for example for a connection that has failed.
+    pub(crate) fn forwarding_socket(&mut self) -> Result<&mut TcpStream> {
+        set_user_timeout(&self.tcp, false)?;
+        Ok(&mut self.tcp)
+    }
+
+    /// Returns an error once the target is lost, as far as this stream watches it.
+    fn poll_watch(&mut self, context: &mut Context<'_>) -> Poll<Error> {
+        let Some((watch, reading)) = &mut self.watch else { return Poll::Pending };
+        loop {
+            ready!(reading.as_mut().poll(context));
+            if watch.check(Instant::now(), &self.tcp) {
+                return Poll::Ready(Error::new(ErrorKind::TimedOut, "target acknowledges nothing"));
+            }
+            reading.as_mut().reset(tokio::time::Instant::now() + WATCH_INTERVAL);
+        }
+    }
+}
+
+impl AsyncRead for TargetStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        if let Poll::Ready(error) = self.poll_watch(context) {
+            return Poll::Ready(Err(error));
+        }
+        Pin::new(&mut self.tcp).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for TargetStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        if let Poll::Ready(error) = self.poll_watch(context) {
+            return Poll::Ready(Err(error));
+        }
+        Pin::new(&mut self.tcp).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(context)
+    }
+}
--- a/crates/agatecourse-gateway/src/connection/tunnel.rs
+++ b/crates/agatecourse-gateway/src/connection/tunnel.rs
@@ -1,4 +1,4 @@
-use super::target_connection::{TargetConnection, set_socket_options};
+use super::target_connection::TargetConnection;
 use super::{parse_response_head, read_some};
 use crate::budget::SocketPermit;
 use agatecourse_types::NodeId;
@@ -84,8 +84,10 @@
         .map_err(|error| unavailable(error.to_string()))?;
     match status {
         200 => {
+            let connection = TargetConnection::new(stream, permit)
+                .map_err(|error| unavailable(error.to_string()))?;
             let link = TunnelLink::new(node, started_unix_ms, open_tunnels);
-            Ok(TargetConnection::new(stream, permit).with_tunnel(link, buffer))
+            Ok(connection.with_tunnel(link, buffer))
         }
         502 => Err(TunnelError::TargetUnreachable { node }),
         _ => Err(unavailable(format!("status {status}"))),
@@ -99,7 +101,6 @@
     target: TunnelTarget,
 ) -> std::io::Result<(TcpStream, BytesMut, u16, u64)> {
     let mut stream = TcpStream::connect(address).await?;
-    set_socket_options(&stream)?;
     let request = format!(
         "CONNECT {TUNNEL_PATH_PREFIX}{:016x} HTTP/1.1\r\n{TARGET_START_HEADER}: {}\r\n{NODE_HEADER}: {own_node}\r\n\r\n",
         target.id_hash, target.started_unix_ms
--- a/crates/agatecourse-gateway/src/process/tunnel_server.rs
+++ b/crates/agatecourse-gateway/src/process/tunnel_server.rs
@@ -1,13 +1,15 @@
 use super::Gateway;
 use crate::connection::{
     NODE_HEADER, NODE_START_HEADER, RequestHead, TARGET_START_HEADER, TUNNEL_PATH_PREFIX,
-    TargetConnection, TunnelTarget, set_socket_options,
+    TargetConnection, TunnelTarget, set_socket_options, wait_until_lost,
 };
 use slog::{info, warn};
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 
 /// Buffer of each direction of a tunnel, in bytes.
 const BUFFER_BYTES: usize = 8 * 1024;
@@ -23,6 +25,8 @@
     ReadFailed,
     /// The receiver's connection failed.
     WriteFailed,
+    /// The receiver acknowledges nothing any more.
+    ReceiverLost,
 }
 
 /// How a tunnel ended.
@@ -60,15 +64,16 @@
     };
     gateway.metrics.paths.tunnels.with_label_values(&["served"]).inc();
     let (opened_at, bytes) = (Instant::now(), ForwardedBytes::default());
-    let mut target = opened.connection;
+    let mut connection = opened.connection;
+    let Ok(target) = connection.stream.forwarding_socket() else { return };
     if stream.write_all(answer(gateway, 200).as_bytes()).await.is_err() {
         return;
     }
-    let end = forward_both(&mut stream, &mut target.stream, &bytes).await;
+    let end = forward_both(&mut stream, target, &bytes).await;
     info!(gateway.log, "tunnel ended"; "member" => node, "target" => &opened.target_id,
         "end" => format!("{end:?}"), "bytes_to_target" => bytes.to_target.get(),
         "bytes_to_node" => bytes.to_node.get(), "elapsed_ms" => opened_at.elapsed().as_millis() as u64);
-    drop(target);
+    drop(connection);
     match end {
         TunnelEnd::NodeLeft => {}
         TunnelEnd::TargetEnded => {
@@ -128,16 +133,18 @@
     format!("HTTP/1.1 {status} Tunnel\r\n{NODE_START_HEADER}: {started}\r\n{length}\r\n")
 }
 
-/// Forwards bytes in both directions until either end closes.
+/// Forwards bytes in both directions until either end closes or is lost.
+///
+/// Each end may read slowly: the target a request, and the node an answer that its caller reads slowly.
 async fn forward_both(
     node: &mut TcpStream,
     target: &mut TcpStream,
     bytes: &ForwardedBytes,
 ) -> TunnelEnd {
-    let (mut node_read, mut node_write) = node.split();
-    let (mut target_read, mut target_write) = target.split();
-    let to_target = forward(&mut node_read, &mut target_write, &bytes.to_target);
-    let to_node = forward(&mut target_read, &mut node_write, &bytes.to_node);
+    let (mut node_read, node_write) = node.split();
+    let (mut target_read, target_write) = target.split();
+    let to_target = forward(&mut node_read, &target_write, &bytes.to_target);
+    let to_node = forward(&mut target_read, &node_write, &bytes.to_node);
     tokio::pin!(to_node);
     let first = tokio::select! {
         biased;
@@ -146,6 +153,7 @@
     };
     match first {
         Stop::Ended | Stop::ReadFailed => TunnelEnd::NodeLeft,
+        Stop::ReceiverLost => TunnelEnd::TargetFailed,
         // A target may answer and close before it has read all of a request.
         Stop::WriteFailed => end_of_answers(to_node.await),
     }
@@ -155,27 +163,43 @@
     match stop {
         Stop::Ended => TunnelEnd::TargetEnded,
         Stop::ReadFailed => TunnelEnd::TargetFailed,
-        Stop::WriteFailed => TunnelEnd::NodeLeft,
+        Stop::WriteFailed | Stop::ReceiverLost => TunnelEnd::NodeLeft,
     }
 }
 
-async fn forward(
-    from: &mut (impl AsyncRead + Unpin),
-    to: &mut (impl AsyncWrite + Unpin),
-    forwarded: &Cell<u64>,
-) -> Stop {
-    let mut buffer = vec![0_u8; BUFFER_BYTES];
-    loop {
-        let read = match from.read(&mut buffer).await {
-            Ok(0) => return Stop::Ended,
-            Ok(read) => read,
-            Err(_) => return Stop::ReadFailed,
-        };
-        if to.write_all(&buffer[..read]).await.is_err() {
-            return Stop::WriteFailed;
+/// Forwards bytes in one direction until either end closes or the receiver is lost.
+async fn forward(from: &mut ReadHalf<'_>, to: &WriteHalf<'_>, forwarded: &Cell<u64>) -> Stop {
+    let copy = async {
+        let mut buffer = vec![0_u8; BUFFER_BYTES];
+        loop {
+            let read = match from.read(&mut buffer).await {
+                Ok(0) => return Stop::Ended,
+                Ok(read) => read,
+                Err(_) => return Stop::ReadFailed,
+            };
+            if write_all(to, &buffer[..read]).await.is_err() {
+                return Stop::WriteFailed;
+            }
+            forwarded.set(forwarded.get() + read as u64);
+        }
+    };
+    tokio::select! {
+        biased;
+        stop = copy => stop,
+        () = wait_until_lost(to.as_ref()) => Stop::ReceiverLost,
+    }
+}
+
+/// Writes all bytes through a shared reference, so that the socket can be watched meanwhile.
+async fn write_all(to: &WriteHalf<'_>, mut bytes: &[u8]) -> std::io::Result<()> {
+    while !bytes.is_empty() {
+        match to.try_write(bytes) {
+            Ok(written) => bytes = &bytes[written..],
+            Err(error) if error.kind() == ErrorKind::WouldBlock => to.writable().await?,
+            Err(error) => return Err(error),
         }
-        forwarded.set(forwarded.get() + read as u64);
     }
+    Ok(())
 }
 
 /// Reads and discards bytes until the connection ends.
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -137,6 +137,10 @@
     bytes: &[u8],
     sent: &mut bool,
 ) -> Result<ResponseHead, ResponseError> {
+    connection
+        .stream
+        .begin_request(!request.is_body_joined())
+        .map_err(|source| ResponseError::Failed { source })?;
     // A target may respond and close before it has read the body, so the response is read even after a failed write.
     let written = send_request(connection, request, bytes, sent).await;
     let head = connection
