--- a/crates/agatecourse-core/src/request/crash_ledger/crash_report.rs
+++ b/crates/agatecourse-core/src/request/crash_ledger/crash_report.rs
@@ -12,4 +12,6 @@
     pub ended: Instant,
     /// Keys of the request.
     pub keys: SuspectKeys,
+    /// True if the keys are parts of the prompt and the answer had gone on after its first events, which makes them weaker suspects.
+    pub is_late: bool,
 }
--- a/crates/agatecourse-core/src/request/crash_ledger/ledger.rs
+++ b/crates/agatecourse-core/src/request/crash_ledger/ledger.rs
@@ -1,5 +1,7 @@
 use super::crash::Crash;
-use super::{CrashReport, CrashVerdict, QuarantinedKey, SuspectKey, SuspectKeys, TargetHash};
+use super::{
+    CrashReport, CrashVerdict, Evidence, QuarantinedKey, SuspectKey, SuspectKeys, TargetHash,
+};
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -7,6 +9,10 @@
 /// Number of crashes from which a key is refused. One crash may be a coincidence, and so may two; users tolerate three for one
 /// request and five for a part.
 pub(super) const CRASHES_UNTIL_QUARANTINE: u32 = 3;
+/// The same for a part of prompts whose answers had gone on. Below the users' five, as two crashes of one target at most count.
+pub(super) const LATE_CRASHES_UNTIL_QUARANTINE: u32 = 4;
+/// Number of crashes from which requests with such a part run one after the other, so that each crash tells most.
+const LATE_CRASHES_UNTIL_TRIAL: u32 = 2;
 /// Number of crashes without a second suspect that show that it is not the cause. A target may also have ended by itself once.
 const CRASHES_TO_RULE_OUT: usize = 2;
 /// Number of crashes of one target that count for a key; others may be due to the target.
@@ -50,7 +56,7 @@
             return false;
         }
         let known = self.crashes.iter_mut().find(|crash| crash.is_reported_by(&report));
-        let is_new = if let Some(crash) = known {
+        let has_changed = if let Some(crash) = known {
             crash.add_suspects(&report)
         } else {
             if self.crashes.len() >= MAX_CRASHES {
@@ -60,8 +66,10 @@
             self.crashes.insert(at, Crash::new(&report));
             true
         };
-        self.quarantine_causes();
-        is_new
+        if has_changed {
+            self.quarantine_causes(&report.keys);
+        }
+        has_changed
     }
 
     /// Clears the keys of a request whose answer is complete; returns those that were suspects.
@@ -69,11 +77,14 @@
         if self.crashes.is_empty() && self.quarantined.is_empty() {
             return SuspectKeys::new();
         }
-        let mut changed = SuspectKeys::new();
+        let (mut changed, mut beside) = (SuspectKeys::new(), SuspectKeys::new());
         for key in keys {
             let mut was_suspect = self.quarantined.remove(key).is_some();
             for crash in &mut self.crashes {
-                was_suspect |= crash.starts.remove(key).is_some();
+                if crash.remove(*key) {
+                    was_suspect = true;
+                    beside.extend(crash.suspects(Evidence::Any));
+                }
             }
             if was_suspect {
                 changed.push(*key);
@@ -81,8 +92,11 @@
             }
         }
         if !changed.is_empty() {
-            self.crashes.retain(|crash| !crash.starts.is_empty());
-            self.quarantine_causes();
+            self.crashes.retain(|crash| !crash.is_empty());
+            beside.sort_unstable();
+            beside.dedup();
+            // What was cleared may have been the other explanation of their crashes.
+            self.quarantine_causes(&beside);
         }
         changed
     }
@@ -140,17 +154,19 @@
                 suspects.push((entry.crashes, *key));
                 continue;
             }
-            let crashes = self.count(*key);
-            if crashes == 0 {
-                continue;
-            }
             // While others may be the cause as well, only a request that lacks one of them can tell.
-            if crashes >= CRASHES_UNTIL_QUARANTINE
-                && self.other_causes(*key).iter().all(|other| keys.contains(other))
-            {
-                return quarantined(*key, crashes, CRASH_LIFETIME);
+            for evidence in Evidence::ALL {
+                let crashes = self.count(*key, evidence);
+                if crashes >= evidence.crashes_until_quarantine()
+                    && self.other_causes(*key, evidence).all(|other| keys.contains(&other))
+                {
+                    return quarantined(*key, crashes, CRASH_LIFETIME);
+                }
             }
-            if self.crashes.iter().any(|crash| crash.awaits_trial(*key)) {
+            let crashes = self.count(*key, Evidence::Any);
+            let is_late_suspect = crashes >= LATE_CRASHES_UNTIL_TRIAL
+                && self.crashes.iter().any(|crash| crash.is_late_suspect(*key));
+            if is_late_suspect || self.crashes.iter().any(|crash| crash.awaits_trial(*key)) {
                 suspects.push((crashes, *key));
             }
         }
@@ -161,14 +177,17 @@
         CrashVerdict::Suspect(suspects.iter().map(|(_, key)| *key).take(2).collect())
     }
 
-    /// Returns reports of up to `limit` unexplained crashes: the newest ones, and older ones from `offset` on.
-    pub fn reports(&self, limit: usize, offset: usize) -> Vec<CrashReport> {
-        let newest = limit.div_ceil(2).min(self.crashes.len());
-        let (older, newest) = self.crashes.split_at(self.crashes.len() - newest);
+    /// Returns reports of up to `limit` unexplained crashes with early or with late suspects: the newest ones, and older ones from
+    /// `offset` on.
+    pub fn reports(&self, is_late: bool, limit: usize, offset: usize) -> Vec<CrashReport> {
+        let crashes: Vec<&Crash> =
+            self.crashes.iter().filter(|crash| crash.has_suspects(is_late)).collect();
+        let newest = limit.div_ceil(2).min(crashes.len());
+        let (older, newest) = crashes.split_at(crashes.len() - newest);
         let older_limit = older.len().min(limit - newest.len());
         let start = if older.is_empty() { 0 } else { offset % older.len() };
         let selected = older.iter().cycle().skip(start).take(older_limit);
-        newest.iter().chain(selected).flat_map(Crash::reports).collect()
+        newest.iter().chain(selected).flat_map(|crash| crash.reports(is_late)).collect()
     }
 
     /// Returns up to `limit` quarantined keys, starting at `offset`.
@@ -192,12 +211,12 @@
     ///
     /// A crash counts only if the request was sent after the crash that was counted before, so that targets which end together,
     /// for example with their failure domain, count once.
-    fn count(&self, key: SuspectKey) -> u32 {
+    fn count(&self, key: SuspectKey, evidence: Evidence) -> u32 {
         let mut counted: SmallVec<[(TargetHash, Instant); 4]> = SmallVec::new();
         for crash in &self.crashes {
-            let Some(started) = crash.starts.get(&key) else { continue };
+            let Some(started) = crash.start(key, evidence) else { continue };
             let same_target = counted.iter().filter(|(target, _)| *target == crash.target).count();
-            let is_separate = counted.last().is_none_or(|(_, ended)| started >= ended);
+            let is_separate = counted.last().is_none_or(|(_, ended)| started >= *ended);
             if is_separate && same_target < MAX_CRASHES_PER_TARGET {
                 counted.push((crash.target, crash.ended));
             }
@@ -205,33 +224,37 @@
         counted.len() as u32
     }
 
-    /// Returns the suspects that may have caused all crashes of a key in its place.
-    fn other_causes(&self, key: SuspectKey) -> SuspectKeys {
-        let crashes = || self.crashes.iter().filter(|crash| crash.starts.contains_key(&key));
-        let mut candidates: SuspectKeys =
-            crashes().flat_map(|crash| crash.starts.keys().copied()).collect();
-        candidates.sort_unstable();
-        candidates.dedup();
-        candidates.retain(|other| {
-            let lacking = crashes().filter(|crash| !crash.starts.contains_key(other)).count();
-            *other != key && lacking < CRASHES_TO_RULE_OUT
-        });
-        candidates
+    /// Returns the suspects that may have caused all crashes of a key in its place; some may come twice.
+    fn other_causes(
+        &self,
+        key: SuspectKey,
+        evidence: Evidence,
+    ) -> impl Iterator<Item = SuspectKey> {
+        let crashes =
+            move || self.crashes.iter().filter(move |crash| crash.start(key, evidence).is_some());
+        // Such a suspect is missing on fewer crashes than are looked at here.
+        let candidates =
+            crashes().take(CRASHES_TO_RULE_OUT).flat_map(move |crash| crash.suspects(evidence));
+        candidates.filter(move |other| {
+            let mut lacking = crashes().filter(|crash| crash.start(*other, evidence).is_none());
+            *other != key && lacking.nth(CRASHES_TO_RULE_OUT - 1).is_none()
+        })
     }
 
-    /// Quarantines the keys that are the only explanation of enough crashes; these crashes are then explained.
-    fn quarantine_causes(&mut self) {
-        let mut crashes_by_key: BTreeMap<SuspectKey, u32> = BTreeMap::new();
-        for key in self.crashes.iter().flat_map(|crash| crash.starts.keys()) {
-            *crashes_by_key.entry(*key).or_default() += 1;
-        }
-        crashes_by_key.retain(|_, crashes| *crashes >= CRASHES_UNTIL_QUARANTINE);
-        for key in crashes_by_key.into_keys() {
-            let crashes = self.count(key);
-            if crashes >= CRASHES_UNTIL_QUARANTINE && self.other_causes(key).is_empty() {
-                let last = self.crashes.iter().rfind(|crash| crash.starts.contains_key(&key));
-                if let Some(last_crash) = last.map(|crash| crash.ended) {
-                    self.insert_quarantined(QuarantinedKey { key, crashes, last_crash });
+    /// Quarantines those of the keys that are the only explanation of enough crashes; these crashes are then explained.
+    fn quarantine_causes(&mut self, keys: &[SuspectKey]) {
+        for key in keys {
+            for evidence in Evidence::ALL {
+                let crashes = self.count(*key, evidence);
+                if crashes < evidence.crashes_until_quarantine()
+                    || self.other_causes(*key, evidence).next().is_some()
+                {
+                    continue;
+                }
+                let is_on = |crash: &&Crash| crash.start(*key, evidence).is_some();
+                if let Some(last_crash) = self.crashes.iter().rfind(is_on).map(|crash| crash.ended)
+                {
+                    self.insert_quarantined(QuarantinedKey { key: *key, crashes, last_crash });
                 }
             }
         }
@@ -239,7 +262,7 @@
 
     /// Inserts a quarantined key, or updates it by later crashes, and drops the crashes that it explains.
     fn insert_quarantined(&mut self, entry: QuarantinedKey) {
-        self.crashes.retain(|crash| !crash.starts.contains_key(&entry.key));
+        self.crashes.retain(|crash| crash.start(entry.key, Evidence::Any).is_none());
         if !self.quarantined.contains_key(&entry.key) {
             self.newly_quarantined.push(entry);
             let oldest = self.quarantined.values().min_by_key(|entry| entry.last_crash);
--- a/crates/agatecourse-core/tests/crash_ledger.rs
+++ b/crates/agatecourse-core/tests/crash_ledger.rs
@@ -15,7 +15,8 @@
 
 fn report(ended: Instant, target: TargetHash, keys: &[SuspectKey]) -> CrashReport {
     let keys = SuspectKeys::from_slice(keys);
-    CrashReport { target, started: ended.checked_sub(RUN_TIME).unwrap_or(ended), ended, keys }
+    let started = ended.checked_sub(RUN_TIME).unwrap_or(ended);
+    CrashReport { target, started, ended, keys, is_late: false }
 }
 
 /// Records a crash of target `number` in the second `number`.
@@ -38,7 +39,7 @@
     crash(&mut peer, now, 3, &[7]);
     let now = now + Duration::from_secs(3);
     expect_that!(is_quarantined(&own, now, &[7]), eq(false));
-    for report in peer.reports(10, 0) {
+    for report in peer.reports(false, 10, 0) {
         own.record(now, report);
     }
     expect_that!(is_quarantined(&own, now, &[7]), eq(true));
@@ -69,6 +70,94 @@
     expect_that!(is_quarantined(&ledger, start + Duration::from_secs(4), &[7]), eq(true));
 }
 
+/// Records a crash of target `number` in the second `number`, in the middle of answers to requests with these parts.
+fn late_crash(ledger: &mut CrashLedger, start: Instant, number: u32, parts: &[&[SuspectKey]]) {
+    let ended = start + Duration::from_secs(u64::from(number));
+    for keys in parts {
+        ledger.record(ended, CrashReport { is_late: true, ..report(ended, number, keys) });
+    }
+}
+
+/// Guards against a part that crashes targets in the middle of answers and is never refused, because no two requests with it are alike.
+#[gtest]
+fn part_that_crashes_targets_in_mid_answer_is_refused() {
+    let start = Instant::now();
+    let mut ledger = CrashLedger::new();
+    for number in 1..=4 {
+        let now = start + Duration::from_secs(u64::from(number));
+        expect_that!(is_quarantined(&ledger, now, &[200, DEADLY]), eq(false));
+        let beside = 300 + u64::from(number);
+        late_crash(&mut ledger, start, number, &[&[SHARED, DEADLY], &[SHARED, beside]]);
+        // Sound requests with the shared part are complete all the time.
+        ledger.clear(now + Duration::from_millis(200), &[500, SHARED]);
+    }
+    let now = start + Duration::from_secs(5);
+    expect_that!(is_quarantined(&ledger, now, &[200, SHARED, DEADLY]), eq(true));
+    for sound in [SHARED, 301, 304] {
+        expect_that!(ledger.verdict(now, &[201, sound]), eq(&CrashVerdict::Clear), "{sound}");
+    }
+}
+
+/// Guards against the refusal of a sound part that was beside a deadly one on three targets, and against sound requests that wait for
+/// each other because one target crashed while their answers were on their way. After two crashes they are tried one by one, until
+/// an answer is complete; that it goes on proves nothing.
+#[gtest]
+fn parts_of_answers_that_were_cut_are_tried_and_not_refused() {
+    let start = Instant::now();
+    let mut ledger = CrashLedger::new();
+    let verdict =
+        |ledger: &CrashLedger| ledger.verdict(start + Duration::from_secs(4), &[200, SHARED]);
+    late_crash(&mut ledger, start, 1, &[&[SHARED]]);
+    expect_that!(verdict(&ledger), eq(&CrashVerdict::Clear));
+    for number in 2..=3 {
+        late_crash(&mut ledger, start, number, &[&[SHARED]]);
+        expect_that!(ledger.record_progress(&[SHARED]).to_vec(), is_empty());
+        expect_that!(verdict(&ledger), matches_pattern!(CrashVerdict::Suspect(len(eq(1)))));
+    }
+    expect_that!(ledger.clear(start + Duration::from_secs(4), &[SHARED]).len(), eq(1));
+    expect_that!(verdict(&ledger), eq(&CrashVerdict::Clear));
+}
+
+/// Guards against evidence that is split: a part that crashes targets before an answer begins and in the middle of answers.
+#[gtest]
+fn early_and_late_crashes_of_a_part_add_up() {
+    let start = Instant::now();
+    let mut ledger = CrashLedger::new();
+    crash(&mut ledger, start, 1, &[101, DEADLY]);
+    late_crash(&mut ledger, start, 2, &[&[DEADLY]]);
+    crash(&mut ledger, start, 3, &[103, DEADLY]);
+    let now = start + Duration::from_secs(4);
+    expect_that!(is_quarantined(&ledger, now, &[200, DEADLY]), eq(false));
+    late_crash(&mut ledger, start, 4, &[&[DEADLY]]);
+    expect_that!(is_quarantined(&ledger, now, &[200, DEADLY]), eq(true));
+}
+
+/// Guards against evidence of the middle of answers that other nodes take for that of their begin, or do not get at all.
+#[gtest]
+fn late_crashes_are_reported_as_such() {
+    let start = Instant::now();
+    let (mut own, mut peer) = (CrashLedger::new(), CrashLedger::new());
+    for number in 1..=4 {
+        late_crash(&mut own, start, number, &[&[DEADLY, 300 + u64::from(number)]]);
+        if number < 4 {
+            crash(&mut peer, start, number, &[100 + u64::from(number)]);
+        }
+    }
+    let now = start + Duration::from_secs(5);
+    expect_that!(own.reports(true, 10, 0), is_empty());
+    expect_that!(own.quarantined(10, 0), elements_are![field!(QuarantinedKey.key, eq(&DEADLY))]);
+    for number in 1..=3 {
+        late_crash(&mut own, start, 10 + number, &[&[7]]);
+    }
+    for report in own.reports(true, 10, 0) {
+        expect_that!(report.is_late, eq(true));
+        peer.record(now, report);
+    }
+    expect_that!(is_quarantined(&peer, now, &[7]), eq(false));
+    late_crash(&mut peer, start, 20, &[&[7]]);
+    expect_that!(is_quarantined(&peer, start + Duration::from_secs(21), &[7]), eq(true));
+}
+
 /// Guards against the refusal of identical requests because one target crashed while running all of them.
 #[gtest]
 fn one_crashed_target_counts_once() {
@@ -249,7 +338,7 @@
         for entry in old.quarantined(12, round * 12) {
             new.adopt(now, entry);
         }
-        for report in old.reports(4, round * 2) {
+        for report in old.reports(false, 4, round * 2) {
             new.record(now, report);
         }
     }
--- a/crates/agatecourse-core/tests/crashing_parts.rs
+++ b/crates/agatecourse-core/tests/crashing_parts.rs
@@ -30,6 +30,8 @@
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
 /// Time for which a crashed target is down.
 const DOWN_TIME: Duration = Duration::from_secs(3);
+/// Time from the second event of an answer to its end.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
 /// Time from the loss of an answer until the target is known to have crashed.
 const CHECK_TIME: Duration = Duration::from_millis(32);
 
@@ -39,8 +41,10 @@
     targets: usize,
     requests_per_s: f64,
     deadly_share: f64,
-    /// True if all deadly requests are one that comes again, which crashes targets after its answer has gone on and has no deadly part.
-    crashes_late: bool,
+    /// Time after the second event of an answer at which a deadly request crashes its target; `None` if it does so before the first.
+    crash_delay: Option<Duration>,
+    /// True if all deadly requests are one that comes again, without a deadly part.
+    repeats: bool,
     /// Share of the messages between nodes that are lost.
     loss: f64,
     /// True if the nodes are replaced one after the other from 8 s on.
@@ -87,6 +91,10 @@
     begun: u32,
     /// Requests that were refused because they share something with requests that crash targets.
     quarantined: u32,
+    /// Requests that the queue refused, because too few targets were up.
+    refused: u32,
+    /// Requests whose answer was cut by a crash.
+    cut: u32,
 }
 
 struct Simulation {
@@ -213,7 +221,7 @@
         let first_part = if is_deadly { 0 } else { self.pick(FIRST_PARTS as usize) as u64 };
         self.next_number += 1;
         let mut keys = SuspectKeys::from_slice(&[1_000_000 + self.next_number, 100 + first_part]);
-        if is_deadly && self.day.crashes_late {
+        if is_deadly && self.day.repeats {
             keys[0] = DEADLY_PART;
         } else if is_deadly {
             keys.push(DEADLY_PART);
@@ -286,7 +294,11 @@
                     self.schedule(Duration::from_millis(1), Event::Grant(key, target));
                 }
                 Decision::Refuse { key, .. } => {
-                    self.requests.remove(&key);
+                    if let Some(request) = self.requests.remove(&key)
+                        && let Some(counts) = self.counts(&request)
+                    {
+                        counts.refused += 1;
+                    }
                 }
             }
         }
@@ -328,7 +340,7 @@
     fn progress(&mut self, key: &JobKey, is_second: bool) {
         let Some(request) = self.requests.get_mut(key) else { return };
         let Some(target) = request.target else { return };
-        if request.is_deadly && !self.day.crashes_late {
+        if request.is_deadly && self.day.crash_delay.is_none() {
             return self.crash(target);
         }
         if is_second {
@@ -339,10 +351,10 @@
                 self.clear_in_queue(node, &released);
                 self.broadcast(node, |peer| Event::Progressed(peer, released.clone()));
             }
-            if is_deadly {
-                self.schedule(Duration::from_millis(100), Event::LateCrash(key.clone()));
+            if let Some(delay) = self.day.crash_delay.filter(|_| is_deadly) {
+                self.schedule(delay, Event::LateCrash(key.clone()));
             } else {
-                self.schedule(Duration::from_millis(500), Event::End(key.clone()));
+                self.schedule(ANSWER_TIME, Event::End(key.clone()));
             }
         } else {
             request.has_begun = true;
@@ -404,13 +416,17 @@
 
     fn record_crash(&mut self, key: &JobKey, target: TargetHash, ended: Instant) {
         let Some(request) = self.requests.get(key).cloned() else { return };
-        let mut keys = request.keys.clone();
-        if request.goes_on {
-            keys.truncate(1);
+        if let Some(counts) = self.counts(&request) {
+            counts.cut += 1;
         }
-        let report = CrashReport { target, started: request.sent, ended, keys };
-        if self.ledgers[request.node].record(self.now, report.clone()) {
-            self.broadcast(request.node, |peer| Event::Report(peer, report.clone()));
+        let early_count = if request.goes_on { 1 } else { request.keys.len() };
+        let (early, late) = request.keys.split_at(early_count);
+        for (keys, is_late) in [(early, false), (late, true)] {
+            let (started, keys) = (request.sent, SuspectKeys::from_slice(keys));
+            let report = CrashReport { target, started, ended, keys, is_late };
+            if self.ledgers[request.node].record(self.now, report.clone()) {
+                self.broadcast(request.node, |peer| Event::Report(peer, report.clone()));
+            }
         }
         self.end(key, RunEnd::Unreachable);
     }
@@ -436,7 +452,9 @@
 
     fn send_heartbeat(&mut self, node: usize) {
         let round = self.next_number as usize;
-        for report in self.ledgers[node].reports(4, round) {
+        let ledger = &self.ledgers[node];
+        let reports = [false, true].map(|is_late| ledger.reports(is_late, 4, round));
+        for report in reports.concat() {
             self.broadcast(node, |peer| Event::Report(peer, report.clone()));
         }
         for entry in self.ledgers[node].quarantined(12, round) {
@@ -454,7 +472,8 @@
         targets: 9,
         requests_per_s: 30.0,
         deadly_share: 0.05,
-        crashes_late: false,
+        crash_delay: None,
+        repeats: false,
         loss: 0.0,
         has_restarts: false,
         own_crashes_per_s: 0.0,
@@ -491,7 +510,8 @@
 #[gtest]
 fn request_that_crashes_targets_in_mid_stream_is_contained() {
     for seed in 0..20 {
-        expect_contained(Day { crashes_late: true, ..day() }, seed);
+        let crash_delay = Some(Duration::from_millis(100));
+        expect_contained(Day { crash_delay, repeats: true, ..day() }, seed);
     }
 }
 
@@ -553,3 +573,53 @@
         );
     }
 }
+
+/// Pattern: a part crashes targets in the middle of answers, early or late in them, in one request a second and in ten, no two of them alike. Guards
+/// against a part that is never refused (rule BUDGET), and against sound parts that are refused because their answers were cut.
+#[gtest]
+fn part_that_crashes_targets_in_mid_answer_is_contained() {
+    for crash_delay in [Duration::from_millis(25), ANSWER_TIME / 2] {
+        for deadly_per_s in [1.0, 10.0] {
+            let mut sums = [0_u32; 6];
+            for seed in 0..20 {
+                let deadly_share = deadly_per_s / 30.0;
+                let day = Day { crash_delay: Some(crash_delay), deadly_share, ..day() };
+                let end = Simulation::new(day, seed).run();
+                expect_that!(end.late_requests, le(MAX_LATE_REQUESTS), "seed {seed}, {day:?}");
+                let sound = [end.sharing, end.others];
+                let sum = |value: fn(&Counts) -> u32| sound.iter().map(value).sum::<u32>();
+                let quarantined = sum(|counts| counts.quarantined);
+                expect_that!(quarantined, eq(0), "seed {seed}, {day:?}");
+                let figures = [
+                    sum(|counts| counts.offered),
+                    quarantined,
+                    sum(|counts| counts.refused),
+                    sum(|counts| counts.cut),
+                    end.crashes.len() as u32,
+                    end.late_requests,
+                ];
+                sums.iter_mut().zip(figures).for_each(|(sum, figure)| *sum += figure);
+            }
+            let [offered, quarantined, refused, cut, crashes, late] = sums;
+            println!(
+                "{deadly_per_s} a second, {} ms into the answer: {crashes} crashes, {late} late requests; of {offered} sound requests \
+                 {cut} cut, {refused} refused by the queue, {quarantined} quarantined",
+                crash_delay.as_millis()
+            );
+        }
+    }
+}
+
+/// Pattern: targets end by themselves beside those that a part crashes in the middle of answers. Guards against sound requests that are
+/// blamed for these.
+#[gtest]
+fn part_in_mid_answer_is_found_among_targets_that_end_by_themselves() {
+    let crash_delay = Some(ANSWER_TIME / 2);
+    for seed in 0..20 {
+        let day = Day { crash_delay, own_crashes_per_s: 0.5, ..day() };
+        let end = Simulation::new(day, seed).run();
+        let refused = end.sharing.quarantined + end.others.quarantined;
+        let offered = end.sharing.offered + end.others.offered;
+        expect_that!(refused, le(offered / 50), "seed {seed}: {:?} {:?}", end.sharing, end.others);
+    }
+}
--- a/crates/agatecourse-gateway/src/process/coordinator/mod.rs
+++ b/crates/agatecourse-gateway/src/process/coordinator/mod.rs
@@ -280,6 +280,7 @@
             }
             PeerMessage::Heartbeat(_)
             | PeerMessage::Crash(_)
+            | PeerMessage::LateCrash(_)
             | PeerMessage::Cleared { .. }
             | PeerMessage::Progressed { .. }
             | PeerMessage::RolloutRoutes { .. } => {}
--- a/crates/agatecourse-gateway/src/process/gateway_crashes.rs
+++ b/crates/agatecourse-gateway/src/process/gateway_crashes.rs
@@ -1,5 +1,5 @@
 use super::peers::broadcast;
-use super::{CrashNotice, Gateway, Heartbeat, PeerMessage, QuarantineNotice};
+use super::{CrashNotice, CrashNotices, Gateway, Heartbeat, PeerMessage, QuarantineNotice};
 use agatecourse_core::request::{
     CrashReport, CrashVerdict, QuarantinedKey, SuspectKey, SuspectKeys,
 };
@@ -12,6 +12,8 @@
 /// Maximum number of suspects in the crashes of a heartbeat, so that the message fits a datagram; a request has up to 64, and
 /// the other requests of its crash follow in later heartbeats.
 const MAX_HEARTBEAT_SUSPECTS: usize = 48;
+/// The same for crashes in the middle of answers, whose suspects are more and matter less.
+const MAX_HEARTBEAT_LATE_SUSPECTS: usize = 16;
 /// Maximum number of quarantined keys in a heartbeat, so that the message fits a datagram.
 const MAX_HEARTBEAT_KEYS: usize = 12;
 
@@ -38,21 +40,33 @@
 
     /// Records that a target crashed with a request of this node, and tells the other nodes.
     pub(crate) fn record_crash(&self, now: Instant, report: CrashReport) {
-        let notice = to_notice(now, &report);
+        let (notice, is_late) = (to_notice(now, &report), report.is_late);
         if self.record_report(now, &self.settings.node, report) {
-            broadcast(self, PeerMessage::Crash(notice));
+            broadcast(
+                self,
+                if is_late { PeerMessage::LateCrash(notice) } else { PeerMessage::Crash(notice) },
+            );
         }
     }
 
-    /// Records a crash that a peer has seen.
-    pub(crate) fn record_peer_crash(&self, now: Instant, from: &NodeId, notice: &CrashNotice) {
-        self.record_report(now, from, from_notice(now, notice));
+    /// Records a crash that a peer has seen; `is_late` says whether it was in the middle of an answer.
+    pub(crate) fn record_peer_crash(
+        &self,
+        now: Instant,
+        from: &NodeId,
+        notice: &CrashNotice,
+        is_late: bool,
+    ) {
+        self.record_report(now, from, from_notice(now, notice, is_late));
     }
 
     /// Records the crashes and quarantined keys of a peer's heartbeat.
     pub(crate) fn record_peer_crashes(&self, now: Instant, from: &NodeId, heartbeat: &Heartbeat) {
         for notice in &heartbeat.crash_notices {
-            self.record_peer_crash(now, from, notice);
+            self.record_peer_crash(now, from, notice, false);
+        }
+        for notice in &heartbeat.late_crash_notices {
+            self.record_peer_crash(now, from, notice, true);
         }
         self.adopt_quarantined(now, from, &heartbeat.quarantine_notices);
     }
@@ -67,10 +81,16 @@
         self.log_quarantined(now, source);
     }
 
-    /// Takes over crashes that an earlier process has recorded.
-    pub fn adopt_crashes(&self, now: Instant, source: &str, notices: &[CrashNotice]) {
+    /// Takes over crashes that an earlier process has recorded; `are_late` says whether they were in the middle of answers.
+    pub fn adopt_crashes(
+        &self,
+        now: Instant,
+        source: &str,
+        notices: &[CrashNotice],
+        are_late: bool,
+    ) {
         for notice in notices {
-            self.record_report(now, source, from_notice(now, notice));
+            self.record_report(now, source, from_notice(now, notice, are_late));
         }
     }
 
@@ -102,40 +122,42 @@
     }
 
     /// Returns some of the known crashes and quarantined keys for a heartbeat; forgets those that are too old.
-    pub(crate) fn heartbeat_crash_notices(
-        &self,
-        now: Instant,
-    ) -> (Vec<CrashNotice>, Vec<QuarantineNotice>) {
+    pub(crate) fn heartbeat_crash_notices(&self, now: Instant) -> CrashNotices {
         self.crashes.borrow_mut().expire(now);
         let round = self.crash_notice_round.get();
-        let (notices, quarantined) =
-            self.crash_notices(now, MAX_HEARTBEAT_CRASHES, MAX_HEARTBEAT_KEYS);
-        (limit_suspects(notices, round, MAX_HEARTBEAT_SUSPECTS), quarantined)
+        let notices = self.crash_notices(now, MAX_HEARTBEAT_CRASHES, MAX_HEARTBEAT_KEYS);
+        CrashNotices {
+            crashes: limit_suspects(notices.crashes, round, MAX_HEARTBEAT_SUSPECTS),
+            late_crashes: limit_suspects(notices.late_crashes, round, MAX_HEARTBEAT_LATE_SUSPECTS),
+            quarantined: notices.quarantined,
+        }
     }
 
     /// Returns the newest crashes and some of the older ones and of the quarantined keys; each call returns others, until all
     /// were returned.
-    pub fn crash_notices(
-        &self,
-        now: Instant,
-        max_crashes: usize,
-        max_keys: usize,
-    ) -> (Vec<CrashNotice>, Vec<QuarantineNotice>) {
+    pub fn crash_notices(&self, now: Instant, max_crashes: usize, max_keys: usize) -> CrashNotices {
         let crashes = self.crashes.borrow();
         if crashes.is_empty() {
-            return Default::default();
+            return CrashNotices::default();
         }
         let round = self.crash_notice_round.get();
         self.crash_notice_round.set(round.wrapping_add(1));
-        let reports = crashes.reports(max_crashes, round.wrapping_mul(max_crashes / 2));
         let quarantined = crashes.quarantined(max_keys, round.wrapping_mul(max_keys));
         let quarantined = quarantined.iter().map(|entry| QuarantineNotice {
             key: entry.key,
             crashes: entry.crashes,
             age_ms: age_ms(now, entry.last_crash),
         });
-        let notices = reports.iter().map(|report| to_notice(now, report));
-        (notices.collect(), quarantined.collect())
+        let notices = |is_late: bool| {
+            let offset = round.wrapping_mul(max_crashes / 2);
+            let reports = crashes.reports(is_late, max_crashes, offset);
+            reports.iter().map(|report| to_notice(now, report)).collect()
+        };
+        CrashNotices {
+            crashes: notices(false),
+            late_crashes: notices(true),
+            quarantined: quarantined.collect(),
+        }
     }
 
     /// Returns a number that increases with each change of the crashes and quarantined keys.
@@ -144,13 +166,14 @@
     }
 
     fn record_report(&self, now: Instant, source: &str, report: CrashReport) -> bool {
-        let (keys, target, ended) = (report.keys.clone(), report.target, report.ended);
+        let (keys, target, ended, is_late) =
+            (report.keys.clone(), report.target, report.ended, report.is_late);
         if !self.crashes.borrow_mut().record(now, report) {
             return false;
         }
         let (crashes, _) = self.crashes.borrow().sizes();
         info!(self.log, "target crashed with a request"; "target_hash" => target, "source" => source,
-            "age_ms" => age_ms(now, ended), "suspect_keys" => format!("{keys:x?}"), "unexplained_crashes" => crashes);
+            "age_ms" => age_ms(now, ended), "is_late" => is_late, "suspect_keys" => format!("{keys:x?}"), "unexplained_crashes" => crashes);
         self.log_quarantined(now, source);
         self.crash_changes.send_modify(|version| *version += 1);
         true
@@ -226,12 +249,13 @@
     }
 }
 
-fn from_notice(now: Instant, notice: &CrashNotice) -> CrashReport {
+fn from_notice(now: Instant, notice: &CrashNotice, is_late: bool) -> CrashReport {
     let at = |age_ms: u64| now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now);
     CrashReport {
         target: notice.target,
         started: at(notice.started_age_ms),
         ended: at(notice.ended_age_ms),
         keys: notice.keys.clone(),
+        is_late,
     }
 }
--- a/crates/agatecourse-gateway/src/process/mod.rs
+++ b/crates/agatecourse-gateway/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! Components that live as long as the process: shared state, coordination between nodes, logs, metrics, timers.
 
 mod coordinator;
+mod crash_notices;
 mod documents;
 mod gateway;
 mod gateway_crashes;
@@ -22,6 +23,7 @@
 mod tunnel_server;
 
 pub use coordinator::{Coordinator, CoordinatorAction, Placement, Submission};
+pub use crash_notices::CrashNotices;
 pub use documents::{Document, DocumentId, Documents};
 pub use gateway::{Gateway, GatewayError, GatewaySettings};
 pub(crate) use gateway_paths::MAX_TUNNEL_NODES;
--- a/crates/agatecourse-gateway/src/process/peer_message.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message.rs
@@ -69,6 +69,9 @@
     pub rank_demands: Vec<RankDemand>,
     /// True if the sender opens tunnels to targets for nodes that have lost their links to them.
     pub serves_tunnels: bool,
+    // Nodes before the evidence of late crashes end a heartbeat here.
+    /// Some of the crashes in the middle of answers; nodes that do not know them would take their keys for suspects of the begin of an answer.
+    pub late_crash_notices: Vec<CrashNotice>,
 }
 
 /// What the ranks of an organisation have asked for on the sending node in the quota window.
@@ -307,6 +310,8 @@
         /// Some of the routes, with all answers that the sender has counted on them.
         routes: Vec<(RouteHash, RolloutCounts)>,
     },
+    /// A target crashed with a request of the sender on it whose answer had gone on; the keys are the parts of its prompt.
+    LateCrash(CrashNotice),
 }
 
 impl PeerMessage {
@@ -324,6 +329,7 @@
             Self::Cleared { .. } => "cleared",
             Self::Progressed { .. } => "progressed",
             Self::RolloutRoutes { .. } => "rollout routes",
+            Self::LateCrash(_) => "late crash",
         }
     }
 }
--- a/crates/agatecourse-gateway/src/process/peer_message/tests.rs
+++ b/crates/agatecourse-gateway/src/process/peer_message/tests.rs
@@ -56,6 +56,7 @@
     expect_that!(heartbeat.is_usage_complete, eq(false));
     expect_that!(heartbeat.crash_notices, is_empty());
     expect_that!(heartbeat.quarantine_notices, is_empty());
+    expect_that!(heartbeat.late_crash_notices, is_empty());
 }
 
 /// Guards against heartbeats of this version that nodes of earlier ones reject.
@@ -76,6 +77,12 @@
                 keys: SuspectKeys::from_slice(&[u64::MAX, 2]),
             }],
             quarantine_notices: vec![QuarantineNotice { key: u64::MAX, crashes: 3, age_ms: 9 }],
+            late_crash_notices: vec![CrashNotice {
+                target: 2,
+                started_age_ms: 900,
+                ended_age_ms: 40,
+                keys: SuspectKeys::from_slice(&[7, 8]),
+            }],
             ..Heartbeat::default()
         })),
     };
--- a/crates/agatecourse-gateway/src/process/peers.rs
+++ b/crates/agatecourse-gateway/src/process/peers.rs
@@ -139,7 +139,12 @@
         PeerMessage::Heartbeat(heartbeat) => {
             on_heartbeat(gateway, now, &envelope.from, ip, &heartbeat);
         }
-        PeerMessage::Crash(notice) => gateway.record_peer_crash(now, &envelope.from, &notice),
+        PeerMessage::Crash(notice) => {
+            gateway.record_peer_crash(now, &envelope.from, &notice, false);
+        }
+        PeerMessage::LateCrash(notice) => {
+            gateway.record_peer_crash(now, &envelope.from, &notice, true);
+        }
         PeerMessage::Cleared { keys } => {
             gateway.record_peer_cleared(now, &envelope.from, &keys);
         }
@@ -254,7 +259,7 @@
         // Rounded up, so that a node does not seem to have been heard later with each node that passes this on.
         silent_s: u32::try_from(silence.as_secs()).unwrap_or(u32::MAX).saturating_add(1),
     });
-    let (crash_notices, quarantine_notices) = gateway.heartbeat_crash_notices(now);
+    let notices = gateway.heartbeat_crash_notices(now);
     let mut heartbeat = Heartbeat {
         started_unix_ms: gateway.settings.started_unix_ms,
         uptime_ms: gateway.uptime(now).as_millis() as u32,
@@ -267,14 +272,15 @@
         quota_bounds_version: gateway.quota_bounds_version(),
         quota_reports: Vec::new(),
         is_usage_complete: gateway.deployment().is_some(),
-        crash_notices,
-        quarantine_notices,
+        crash_notices: notices.crashes,
+        quarantine_notices: notices.quarantined,
         capacity: gateway.settings.capacity,
         follows_source: !gateway.is_source_lost() && !gateway.relies_on_relays(),
         lost_members: lost_members.collect(),
         unlisted_growth_ppm: None,
         rank_demands: gateway.rank_demands(now),
         serves_tunnels: gateway.serves_tunnels(),
+        late_crash_notices: notices.late_crashes,
     };
     // The lengths of the lists in front of the use take some bytes more once they are filled.
     let other_bytes = postcard::to_allocvec(&heartbeat).map_or(0, |bytes| bytes.len())
--- a/crates/agatecourse-gateway/src/request/crash_check.rs
+++ b/crates/agatecourse-gateway/src/request/crash_check.rs
@@ -4,6 +4,7 @@
 use crate::version::Target;
 use agatecourse_core::request::CrashReport;
 use slog::{info, warn};
+use smallvec::SmallVec;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,15 +23,16 @@
     Unknown,
 }
 
-/// Checks with a new connection whether a target whose answer was lost has crashed, and records the crash.
+/// Checks with a new connection whether a target whose answer was lost has crashed, and records the crash with the reports on its run.
 ///
 /// A target that only this node does not reach has not crashed, and neither has one that is lost together with all others.
 pub(crate) async fn check_for_crash(
     gateway: Rc<Gateway>,
     target: Rc<Target>,
     request: String,
-    report: CrashReport,
+    reports: SmallVec<[CrashReport; 2]>,
 ) -> LossVerdict {
+    let ended = reports.first().map_or_else(Instant::now, |report| report.ended);
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
     let reason = match open_connection(&gateway, &target).await {
         Ok(connection) => {
@@ -41,14 +43,16 @@
         Err(OpenError::NoSocket) => return LossVerdict::Unknown,
         Err(OpenError::Unreachable { reason }) => reason,
     };
-    if !links_work(&gateway, report.ended, &target).await {
+    if !links_work(&gateway, ended, &target).await {
         info!(gateway.log, "lost response not held against its target, as no target is reached"; "target" => &target.id,
             "request" => request, "error" => reason);
         return LossVerdict::Unknown;
     }
-    warn!(gateway.log, "target unreachable after a lost response"; "target" => &target.id,
-        "request" => request, "suspect_keys" => format!("{:x?}", report.keys), "error" => reason);
-    gateway.record_crash(Instant::now(), report);
+    for report in reports {
+        warn!(gateway.log, "target unreachable after a lost response"; "target" => &target.id, "request" => &request,
+            "is_late" => report.is_late, "suspect_keys" => format!("{:x?}", report.keys), "error" => &reason);
+        gateway.record_crash(Instant::now(), report);
+    }
     LossVerdict::Crashed
 }
 
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -12,7 +12,7 @@
 use crate::process::{Gateway, Placement, WireJob, may_start_request};
 use crate::version::Target;
 use agatecourse_core::request::dispatch::{CallerKey, Refusal, RunEnd};
-use agatecourse_core::request::{CrashReport, CrashVerdict};
+use agatecourse_core::request::{CrashReport, CrashVerdict, SuspectKeys};
 use agatecourse_types::{ResultCode, TargetId, ZoneId, stable_hash};
 use request_log::log_reply;
 use slog::warn;
@@ -691,27 +691,38 @@
         self.has_attempts_left() && self.gateway.try_retry(&self.admitted.service)
     }
 
+    /// Returns the reports on the run of this request at a target that may have crashed. The parts of a prompt are weaker suspects once the answer
+    /// went on, because those that many running requests share are on each crash of a target.
+    fn crash_reports(&self, target: &Target, went_on: bool) -> SmallVec<[CrashReport; 2]> {
+        let keys = &self.admitted.suspect_keys;
+        let early_count = if went_on { keys.len().min(1) } else { keys.len() };
+        let (early, late) = keys.split_at(early_count);
+        let (started, ended) = (self.sent_at, Instant::now());
+        let kinds = [(early, false), (late, true)];
+        kinds
+            .into_iter()
+            .filter(|(keys, _)| !keys.is_empty())
+            .map(|(keys, is_late)| CrashReport {
+                target: stable_hash(&[target.address.to_string().as_bytes()]) as u32,
+                started,
+                ended,
+                keys: SuspectKeys::from_slice(keys),
+                is_late,
+            })
+            .collect()
+    }
+
     /// Ends the attempt of a lost run as soon as it is known whether its target has crashed. If a retry may follow, waits for that, so
     /// that the retry takes account of the crash.
     ///
     /// The attempts of requests without prompt parts end at once, as their objectives are shorter than the check; they count against the target only if
     /// another one was heard meanwhile. A stream that went on is resumed without the wait, which would add to the pause between its events.
     async fn end_lost_run(&mut self, target: &Rc<Target>, guard: AttemptGuard, went_on: bool) {
-        let mut keys = self.admitted.suspect_keys.clone();
-        let has_parts = keys.len() > 1;
-        if went_on {
-            // The parts that many running requests share would be on each crash of a target.
-            keys.truncate(1);
-        }
-        let report = CrashReport {
-            target: stable_hash(&[target.address.to_string().as_bytes()]) as u32,
-            started: self.sent_at,
-            ended: Instant::now(),
-            keys,
-        };
+        let has_parts = self.admitted.suspect_keys.len() > 1;
+        let reports = self.crash_reports(target, went_on);
         let may_retry = self.admitted.route.kind.is_repeatable() && self.has_attempts_left();
         let request = self.request.id(&self.gateway.header_names).unwrap_or_default().to_string();
-        let check = check_for_crash(Rc::clone(self.gateway), Rc::clone(target), request, report);
+        let check = check_for_crash(Rc::clone(self.gateway), Rc::clone(target), request, reports);
         let evidence = self.evidence.take();
         let check = async move {
             let verdict = check.await;
