--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -135,14 +135,16 @@
             let disconnected =
                 wait_for_disconnect(&mut self.read, &mut self.buffer, &self.buffer_held);
             let processed = process_request(&gateway, request, &mut self.write, closes);
+            // The close comes first: a node that is short of processor time may read a request after its caller has left, or get its grant
+            // together with the close.
             tokio::select! {
                 biased;
-                reply = processed => reply,
                 disconnect = disconnected => {
                     info!(gateway.log, "caller left"; "request" => request.id(&gateway.header_names),
                         "elapsed_ms" => request.arrived.elapsed().as_millis() as u64, "how" => format!("{disconnect:?}"));
                     return false;
                 }
+                reply = processed => reply,
             }
         };
         let closes = closes || gateway.stopping_since().is_some();
