--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -1,5 +1,5 @@
 use super::{
-    BodyReader, CompleteResponse, HeadError, PeerWatch, RequestHead, WATCH_INTERVAL,
+    BodyReader, CompleteResponse, Disconnect, HeadError, PeerWatch, RequestHead, WATCH_INTERVAL,
     parse_request_head, read_some, set_socket_options, unparsed_method, wait_until_lost,
     write_to_caller,
 };
@@ -395,15 +395,6 @@
     read_some(read, buffer).await
 }
 
-/// How a caller left while its request was at work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Disconnect {
-    /// It closed or reset the connection.
-    Closed,
-    /// It acknowledges nothing any more.
-    Lost,
-}
-
 /// Completes when the caller closes or resets its connection or is lost; buffers pipelined requests meanwhile.
 async fn wait_for_disconnect(
     read: &mut OwnedReadHalf,
@@ -415,7 +406,7 @@
     let mut next_reading = tokio::time::interval_at(first_reading, WATCH_INTERVAL);
     let mut buffers_more = true;
     loop {
-        // A full buffer is not read further, so a close is no longer noticed.
+        // A full buffer is not read further; a close is then noticed by the state of the connection.
         buffers_more &= buffer.len() <= MAX_PIPELINED_BYTES;
         tokio::select! {
             biased;
@@ -428,8 +419,9 @@
                 }
             },
             _ = next_reading.tick() => {
-                if watch.check(Instant::now(), read.as_ref()) {
-                    return Disconnect::Lost;
+                match watch.check(Instant::now(), read.as_ref()) {
+                    Some(disconnect) if disconnect == Disconnect::Lost || !buffers_more => return disconnect,
+                    _ => {}
                 }
             }
         }
--- a/crates/agatecourse-gateway/src/connection/mod.rs
+++ b/crates/agatecourse-gateway/src/connection/mod.rs
@@ -24,7 +24,7 @@
     HeadError, Headers, RequestHead, ResponseHead, parse_request_head, parse_response_head,
 };
 pub use header_names::HeaderNames;
-pub(crate) use peer_watch::{PeerWatch, WATCH_INTERVAL, wait_until_lost};
+pub(crate) use peer_watch::{Disconnect, PeerWatch, WATCH_INTERVAL, wait_until_lost};
 pub use simple_client::{CallError, SimpleClient};
 pub(crate) use socket_options::{set_socket_options, set_user_timeout};
 pub(crate) use target_connection::{ResponseError, TargetConnection};
--- a/crates/agatecourse-gateway/src/connection/peer_watch.rs
+++ b/crates/agatecourse-gateway/src/connection/peer_watch.rs
@@ -7,6 +7,15 @@
 /// Interval at which the state of a connection is read.
 pub(crate) const WATCH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How a peer has left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Disconnect {
+    /// It closed or reset the connection.
+    Closed,
+    /// It acknowledges nothing any more.
+    Lost,
+}
+
 /// Notices a peer that acknowledges nothing any more, such as a host without power.
 ///
 /// The kernel's user timeout notices it too, but also ends the connection of a peer that runs and keeps its window closed for that time,
@@ -36,9 +45,13 @@
         now.saturating_duration_since(since) >= LOST_AFTER
     }
 
-    /// Reads the state of a connection and returns whether its peer is lost; false if the kernel reports no state.
-    pub(crate) fn check(&mut self, now: Instant, stream: &TcpStream) -> bool {
-        TcpState::read(stream).is_some_and(|state| self.observe(now, &state))
+    /// Reads the state of a connection and returns how its peer has left; `None` if it has not, or if the kernel reports no state.
+    pub(crate) fn check(&mut self, now: Instant, stream: &TcpStream) -> Option<Disconnect> {
+        let state = TcpState::read(stream)?;
+        if state.is_closed {
+            return Some(Disconnect::Closed);
+        }
+        self.observe(now, &state).then_some(Disconnect::Lost)
     }
 }
 
@@ -47,7 +60,7 @@
     let mut watch = PeerWatch::new();
     loop {
         tokio::time::sleep(WATCH_INTERVAL).await;
-        if watch.check(Instant::now(), stream) {
+        if watch.check(Instant::now(), stream) == Some(Disconnect::Lost) {
             return;
         }
     }
--- a/crates/agatecourse-gateway/src/connection/peer_watch/tests.rs
+++ b/crates/agatecourse-gateway/src/connection/peer_watch/tests.rs
@@ -7,7 +7,8 @@
     let (start, mut watch) = (Instant::now(), PeerWatch::new());
     let lost = readings.iter().zip(0_u32..).find(|((awaits_ack, last_ack_age_ms), number)| {
         let last_ack_age = Duration::from_millis(*last_ack_age_ms);
-        let state = TcpState { awaits_ack: *awaits_ack, last_ack_age, acked_bytes: 0 };
+        let state =
+            TcpState { awaits_ack: *awaits_ack, last_ack_age, is_closed: false, acked_bytes: 0 };
         watch.observe(start + WATCH_INTERVAL * *number, &state)
     });
     lost.map(|(_, number)| WATCH_INTERVAL * number)
--- a/crates/agatecourse-gateway/src/connection/target_stream.rs
+++ b/crates/agatecourse-gateway/src/connection/target_stream.rs
@@ -1,4 +1,4 @@
-use super::{PeerWatch, WATCH_INTERVAL, set_socket_options, set_user_timeout};
+use super::{Disconnect, PeerWatch, WATCH_INTERVAL, set_socket_options, set_user_timeout};
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -66,7 +66,7 @@
         let Some((watch, reading)) = &mut self.watch else { return Poll::Pending };
         loop {
             ready!(reading.as_mut().poll(context));
-            if watch.check(Instant::now(), &self.tcp) {
+            if watch.check(Instant::now(), &self.tcp) == Some(Disconnect::Lost) {
                 return Poll::Ready(Error::new(ErrorKind::TimedOut, "target acknowledges nothing"));
             }
             reading.as_mut().reset(tokio::time::Instant::now() + WATCH_INTERVAL);
--- a/crates/agatecourse-gateway/src/connection/tcp_state.rs
+++ b/crates/agatecourse-gateway/src/connection/tcp_state.rs
@@ -8,10 +8,15 @@
     pub(crate) awaits_ack: bool,
     /// Time since the last acknowledgement of any kind. A peer that runs also acknowledges probes while it reads nothing.
     pub(crate) last_ack_age: Duration,
+    /// True if the peer has closed or reset the connection, also while bytes before the close are unread.
+    pub(crate) is_closed: bool,
     /// Bytes that the peer has acknowledged since the connection was opened.
     pub(crate) acked_bytes: u64,
 }
 
+/// State of a connection in which the peer has closed its side or more, or that was reset (`tcp_states.h`).
+const TCP_CLOSE: u8 = 7;
+const TCP_CLOSE_WAIT: u8 = 8;
 /// Probes in a row of which a peer that runs answers at least one: a probe may be lost, and Linux answers only one in half a second.
 const MIN_UNANSWERED_PROBES: u8 = 2;
 
@@ -55,6 +60,7 @@
         Some(Self {
             awaits_ack: has_unacked_data || info.probes >= MIN_UNANSWERED_PROBES,
             last_ack_age: Duration::from_millis(info.last_ack_recv_ms.into()),
+            is_closed: matches!(info.state, TCP_CLOSE | TCP_CLOSE_WAIT),
             acked_bytes: info.bytes_acked,
         })
     }
