--- a/crates/agatecourse-gateway/src/connection/target_stream.rs
+++ b/crates/agatecourse-gateway/src/connection/target_stream.rs
@@ -7,7 +7,10 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-/// Bytes of a connection to a target, which notices that the target is gone.
+/// Bytes of a connection to a target, which notices that the target is gone or has reset the connection.
+///
+/// The kernel reports a reset once, to the write or the read that comes first. After a failed write, the end of the bytes may therefore be a
+/// reset and is reported as one.
 ///
 /// The kernel notices that by a user timeout. It is off for a long request, of which a target that reads slowly leaves a part in the buffers;
 /// the stream watches the acknowledgements itself then.
@@ -16,6 +19,7 @@
     tcp: TcpStream,
     /// Watch of the target with the time of its next reading; `None` while the user timeout is on.
     watch: Option<(PeerWatch, Pin<Box<Sleep>>)>,
+    has_write_failed: bool,
 }
 
 impl TargetStream {
@@ -27,7 +31,7 @@
     pub(crate) fn new(tcp: TcpStream) -> Result<Self> {
         set_socket_options(&tcp)?;
         set_user_timeout(&tcp, true)?;
-        Ok(Self { tcp, watch: None })
+        Ok(Self { tcp, watch: None, has_write_failed: false })
     }
 
     /// Prepares for a request; `is_long` says whether it may not fit the target's window.
@@ -83,7 +87,13 @@
         if let Poll::Ready(error) = self.poll_watch(context) {
             return Poll::Ready(Err(error));
         }
-        Pin::new(&mut self.tcp).poll_read(context, buffer)
+        let filled = buffer.filled().len();
+        ready!(Pin::new(&mut self.tcp).poll_read(context, buffer))?;
+        let has_ended = buffer.filled().len() == filled && buffer.remaining() > 0;
+        if has_ended && self.has_write_failed {
+            return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -96,7 +106,9 @@
         if let Poll::Ready(error) = self.poll_watch(context) {
             return Poll::Ready(Err(error));
         }
-        Pin::new(&mut self.tcp).poll_write(context, bytes)
+        let written = ready!(Pin::new(&mut self.tcp).poll_write(context, bytes));
+        self.has_write_failed |= written.is_err();
+        Poll::Ready(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/agatecourse-gateway/src/process/tunnel_server.rs
+++ b/crates/agatecourse-gateway/src/process/tunnel_server.rs
@@ -16,6 +16,9 @@
 /// Longest wait for the node to close a tunnel whose target has ended; closing it with unread bytes could discard the end of the answer.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
+/// Time that the answer to a request which the target has not read to its end has to reach the node before the tunnel is reset.
+const RESET_DELAY: Duration = Duration::from_millis(200);
+
 /// How one direction of a tunnel stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stop {
@@ -38,6 +41,8 @@
     TargetEnded,
     /// The target's connection failed.
     TargetFailed,
+    /// The target's connection failed before it had read all of a request. Its answer may be whole, if it says where it ends.
+    RequestCut,
 }
 
 /// Bytes that a tunnel has forwarded.
@@ -80,8 +85,12 @@
             let _ = stream.shutdown().await;
             let _ = tokio::time::timeout(LINGER_TIME, discard(&mut stream)).await;
         }
-        // The node must be able to tell a connection that broke from one that ended.
-        TunnelEnd::TargetFailed => {
+        // The node must be able to tell a connection that broke from one that ended. A reset may overtake an answer that is whole, with which
+        // the node closes the tunnel.
+        TunnelEnd::TargetFailed | TunnelEnd::RequestCut => {
+            if end == TunnelEnd::RequestCut {
+                let _ = tokio::time::timeout(RESET_DELAY, discard(&mut stream)).await;
+            }
             let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         }
     }
@@ -154,8 +163,12 @@
     match first {
         Stop::Ended | Stop::ReadFailed => TunnelEnd::NodeLeft,
         Stop::ReceiverLost => TunnelEnd::TargetFailed,
-        // A target may answer and close before it has read all of a request.
-        Stop::WriteFailed => end_of_answers(to_node.await),
+        // A target may answer and close before it has read all of a request. The failed write has taken the reset of the connection, which
+        // the end of the answers hides.
+        Stop::WriteFailed => match to_node.await {
+            Stop::Ended | Stop::ReadFailed => TunnelEnd::RequestCut,
+            stop => end_of_answers(stop),
+        },
     }
 }
 
