--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -1,5 +1,5 @@
 use super::{
-    BodyReader, CompleteResponse, Disconnect, HeadError, PeerWatch, RequestHead, WATCH_INTERVAL,
+    BodyReader, CompleteResponse, Disconnect, PeerWatch, RequestHead, WATCH_INTERVAL,
     parse_request_head, read_some, set_socket_options, unparsed_method, wait_until_lost,
     write_to_caller,
 };
@@ -257,7 +257,7 @@
                         "head is too large".to_string(),
                     );
                 }
-                Err(error @ (HeadError::Malformed { .. } | HeadError::AmbiguousLength)) => {
+                Err(error) => {
                     return HeadReadResult::Rejected(400, ResultCode::Malformed, error.to_string());
                 }
             }
--- a/crates/agatecourse-gateway/src/connection/head.rs
+++ b/crates/agatecourse-gateway/src/connection/head.rs
@@ -5,6 +5,10 @@
 pub(crate) const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
 /// Largest number of header lines in a message.
 const MAX_HEADER_LINES: usize = 100;
+/// Status codes of HTTP (RFC 9110, section 15).
+const POSSIBLE_STATUSES: std::ops::Range<u16> = 100..600;
+/// Status after which the bytes of a connection are those of another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Hop-by-hop headers, and headers that the node sets itself; never forwarded.
 const HOP_BY_HOP: &[&str] = &[
     "connection",
@@ -32,6 +36,12 @@
     /// Lengths conflict, a length is invalid, or the transfer coding is not `chunked` alone.
     #[snafu(display("length of the body is ambiguous"))]
     AmbiguousLength,
+    /// The status is none of HTTP's, or announces another protocol, for which no request of a node asks.
+    #[snafu(display("status {status} answers no request"))]
+    ImpossibleStatus {
+        /// Status code as received.
+        status: u16,
+    },
 }
 
 /// Header lines in order of arrival.
@@ -137,7 +147,7 @@
 /// Parsed head of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ResponseHead {
-    /// Status code; 0 when the parser returned none.
+    /// Status code from 100 to 599.
     pub status: u16,
     /// Reason phrase; may be empty.
     pub reason: String,
@@ -191,7 +201,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`HeadError`] when the head is malformed or the body length is ambiguous.
+/// Returns a [`HeadError`] when the head is malformed, the body length is ambiguous or the status answers no request.
 pub fn parse_response_head(
     bytes: &[u8],
     method: &str,
@@ -205,6 +215,9 @@
     };
     let headers = Headers::from_parsed(parsed.headers);
     let status = parsed.code.unwrap_or_default();
+    if !POSSIBLE_STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(HeadError::ImpossibleStatus { status });
+    }
     let (content_length, is_chunked) = (headers.content_length()?, headers.is_chunked()?);
     if is_chunked && content_length.is_some() {
         return Err(HeadError::AmbiguousLength);
--- a/crates/agatecourse-gateway/tests/http.rs
+++ b/crates/agatecourse-gateway/tests/http.rs
@@ -67,6 +67,21 @@
     expect_that!(no_content, some(contains_substring("Length(0)")));
 }
 
+/// Guards against a response whose status is none being passed on, by any reader of responses: targets, other nodes and the store.
+#[gtest]
+fn impossible_statuses_are_refused() {
+    let parse = |status: &str| {
+        let text = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 4\r\n\r\n");
+        parse_response_head(text.as_bytes(), "GET")
+    };
+    for status in ["000", "001", "099", "101", "600", "999"] {
+        expect_that!(parse(status), err(anything()), "{status}");
+    }
+    for status in ["100", "103", "200", "299", "502", "599"] {
+        expect_that!(parse(status), ok(some(anything())), "{status}");
+    }
+}
+
 /// Guards against forwarding incomplete events, and against losing the event id needed to resume a stream.
 #[gtest]
 fn only_complete_events_are_forwarded() {
