--- a/crates/agatecourse-gateway/src/budget/request_body.rs
+++ b/crates/agatecourse-gateway/src/budget/request_body.rs
@@ -58,6 +58,16 @@
         self.length == 0
     }
 
+    /// Returns the bytes from an offset to the end of their segment; `None` at the end of the body.
+    pub(crate) fn bytes_from(&self, offset: usize) -> Option<&[u8]> {
+        let mut start = 0;
+        self.segments.iter().find_map(|segment| {
+            let rest = segment.get(offset.checked_sub(start)?..).filter(|rest| !rest.is_empty());
+            start += segment.len();
+            rest
+        })
+    }
+
     /// Returns the bytes in order.
     pub(crate) fn segments(&self) -> impl Iterator<Item = &[u8]> + Clone {
         self.segments.iter().map(Vec::as_slice)
--- a/crates/agatecourse-gateway/src/budget/tests.rs
+++ b/crates/agatecourse-gateway/src/budget/tests.rs
@@ -255,3 +255,19 @@
     expect_that!(uploading.eviction(), none());
     expect_that!(idle.eviction(), none());
 }
+
+/// Guards against bytes of a body that are skipped or sent twice where a socket takes a part of a segment.
+#[gtest]
+fn body_is_read_in_steps_of_any_size() {
+    let bytes: Vec<u8> = (0..200_000_u32).map(|number| (number % 251) as u8).collect();
+    let mut body = RequestBody::new();
+    for piece in bytes.chunks(7_001) {
+        body.append(&mut piece.to_vec());
+    }
+    let (mut sent, mut step) = (Vec::new(), 1);
+    while let Some(rest) = body.bytes_from(sent.len()) {
+        sent.extend_from_slice(&rest[..rest.len().min(step)]);
+        step = step * 3 % 9_973 + 1;
+    }
+    expect_that!(sent == bytes, eq(true));
+}
--- a/crates/agatecourse-gateway/src/connection/caller.rs
+++ b/crates/agatecourse-gateway/src/connection/caller.rs
@@ -122,6 +122,7 @@
             Err(_) => return false,
         };
         self.slot.begin_work();
+        let body = Rc::new(body);
         let request = CallerRequest { head, body, held: request_bytes, arrived };
         let _open_request = OpenRequest::new(&self.gateway);
         self.process_and_respond(&request).await
--- a/crates/agatecourse-gateway/src/connection/target_stream.rs
+++ b/crates/agatecourse-gateway/src/connection/target_stream.rs
@@ -1,6 +1,8 @@
 use super::{Disconnect, PeerWatch, WATCH_INTERVAL, set_socket_options, set_user_timeout};
+use crate::budget::RequestBody;
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -20,6 +22,16 @@
     /// Watch of the target with the time of its next reading; `None` while the user timeout is on.
     watch: Option<(PeerWatch, Pin<Box<Sleep>>)>,
     has_write_failed: bool,
+    /// Rest of the body of a request, which is written while the answer is read; `None` once it was written, or can't be.
+    unsent: Option<UnsentBody>,
+}
+
+/// Part of a body that was not written yet.
+#[derive(Debug)]
+struct UnsentBody {
+    body: Rc<RequestBody>,
+    /// Bytes that were written.
+    sent_bytes: usize,
 }
 
 impl TargetStream {
@@ -31,7 +43,7 @@
     pub(crate) fn new(tcp: TcpStream) -> Result<Self> {
         set_socket_options(&tcp)?;
         set_user_timeout(&tcp, true)?;
-        Ok(Self { tcp, watch: None, has_write_failed: false })
+        Ok(Self { tcp, watch: None, has_write_failed: false, unsent: None })
     }
 
     /// Prepares for a request; `is_long` says whether it may not fit the target's window.
@@ -48,6 +60,16 @@
         Ok(())
     }
 
+    /// Writes a body while the answer is read, as a target may answer before it has read a long body, and read no more of it.
+    pub(crate) fn send_while_reading(&mut self, body: Rc<RequestBody>) {
+        self.unsent = Some(UnsentBody { body, sent_bytes: 0 });
+    }
+
+    /// Returns whether all of the request was written; the target takes what is written next for the rest of it otherwise.
+    pub(crate) fn is_request_sent(&self) -> bool {
+        self.unsent.is_none() && !self.has_write_failed
+    }
+
     /// Returns whether the connection is open and has no unexpected bytes to read.
     pub(crate) fn is_open_and_empty(&self) -> bool {
         let mut probe = [0_u8; 1];
@@ -65,6 +87,22 @@
         Ok(&mut self.tcp)
     }
 
+    /// Writes as much of the rest of a body as the socket takes.
+    fn poll_send_rest(&mut self, context: &mut Context<'_>) {
+        let Some(UnsentBody { body, sent_bytes }) = &mut self.unsent else { return };
+        while let Some(bytes) = body.bytes_from(*sent_bytes) {
+            match Pin::new(&mut self.tcp).poll_write(context, bytes) {
+                Poll::Ready(Ok(written)) if written > 0 => *sent_bytes += written,
+                Poll::Ready(_) => {
+                    self.has_write_failed = true;
+                    break;
+                }
+                Poll::Pending => return,
+            }
+        }
+        self.unsent = None;
+    }
+
     /// Returns an error once the target is lost, as far as this stream watches it.
     fn poll_watch(&mut self, context: &mut Context<'_>) -> Poll<Error> {
         let Some((watch, reading)) = &mut self.watch else { return Poll::Pending };
@@ -87,6 +125,7 @@
         if let Poll::Ready(error) = self.poll_watch(context) {
             return Poll::Ready(Err(error));
         }
+        self.poll_send_rest(context);
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.tcp).poll_read(context, buffer))?;
         let has_ended = buffer.filled().len() == filled && buffer.remaining() > 0;
--- a/crates/agatecourse-gateway/src/request/attempt.rs
+++ b/crates/agatecourse-gateway/src/request/attempt.rs
@@ -9,6 +9,7 @@
 use crate::process::Gateway;
 use crate::version::Target;
 use agatecourse_core::request::dispatch::Closure;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Largest response body in bytes that is buffered before it is forwarded.
@@ -129,7 +130,7 @@
     NoMemory(String),
 }
 
-/// Sends the request and reads the response head, which may arrive before the request is completely sent.
+/// Sends the head of a request, with the body if it is small, and reads the response head. A larger body is sent while the response is read.
 async fn send_and_read_head(
     connection: &mut TargetConnection,
     request: &CallerRequest,
@@ -141,35 +142,18 @@
         .stream
         .begin_request(!request.is_body_joined())
         .map_err(|source| ResponseError::Failed { source })?;
-    // A target may respond and close before it has read the body, so the response is read even after a failed write.
-    let written = send_request(connection, request, bytes, sent).await;
+    let written = connection.send(bytes, sent).await;
+    if written.is_ok() && !request.is_body_joined() {
+        connection.stream.send_while_reading(Rc::clone(&request.body));
+    }
+    // A target may respond and close before it has read the request, so the response is read even after a failed write.
     let head = connection
         .read_head(&request.head.method, &header_names.request_id, request.id(header_names))
         .await;
     match (head, written) {
-        (Ok(mut head), written) => {
-            head.closes |= written.is_err();
-            Ok(head)
-        }
         (Err(_), Err(source)) => Err(ResponseError::Failed { source }),
-        (Err(error), Ok(())) => Err(error),
-    }
-}
-
-/// Sends the head of a request, with the body if it is small, and then the segments of a larger body.
-async fn send_request(
-    connection: &mut TargetConnection,
-    request: &CallerRequest,
-    bytes: &[u8],
-    sent: &mut bool,
-) -> std::io::Result<()> {
-    connection.send(bytes, sent).await?;
-    if !request.is_body_joined() {
-        for segment in request.body.segments() {
-            connection.send(segment, sent).await?;
-        }
+        (head, _) => head,
     }
-    Ok(())
 }
 
 /// Reads a response body to its end and returns the connection to the pool if it can be reused.
@@ -204,15 +188,16 @@
     Ok(body)
 }
 
-/// Returns a connection to the pool, unless the target closes it or its close marks the end of the body; the pool drops
-/// a connection with unread bytes.
+/// Returns a connection to the pool, unless the target closes it, its close marks the end of the body, or a part of the request was not
+/// sent; the pool drops a connection with unread bytes.
 pub(crate) fn return_to_pool(
     gateway: &Gateway,
     target: &Target,
     connection: TargetConnection,
     head: &ResponseHead,
 ) {
-    if head.closes || head.framing == BodyFraming::UntilClose {
+    let is_over = head.closes || head.framing == BodyFraming::UntilClose;
+    if is_over || !connection.stream.is_request_sent() {
         return;
     }
     let stated_idle = head.headers.get("keep-alive").and_then(|text| {
--- a/crates/agatecourse-gateway/src/request/caller_request.rs
+++ b/crates/agatecourse-gateway/src/request/caller_request.rs
@@ -1,5 +1,6 @@
 use crate::budget::{HeldBytes, RequestBody};
 use crate::connection::{HeaderNames, RequestHead};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Timeout of a request without a deadline header; the longest among the users' requirements.
@@ -12,7 +13,8 @@
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) head: RequestHead,
-    pub(crate) body: RequestBody,
+    /// Shared with the connection to a target that reads it while the answer is read.
+    pub(crate) body: Rc<RequestBody>,
     /// Bytes that are held for the request and its answer.
     pub(crate) held: HeldBytes,
     /// Time at which the first byte was read; for a pipelined request, at which the previous request of the connection ended.
--- a/crates/agatecourse-gateway/src/request/suspect_keys/tests.rs
+++ b/crates/agatecourse-gateway/src/request/suspect_keys/tests.rs
@@ -33,7 +33,8 @@
         ResourceBudget::new(BudgetLimits::new(160, 4_100), refusals.expect("the name is valid"));
     let slot = budget.accept_caller(Instant::now()).expect("the budget has room");
     let body = RequestBody::from(body.as_bytes().to_vec());
-    let request = CallerRequest { head, body, held: slot.hold(), arrived: Instant::now() };
+    let request =
+        CallerRequest { head, body: body.into(), held: slot.hold(), arrived: Instant::now() };
     suspect_keys(&request, &header_names())
 }
 
