--- a/crates/agatecourse-gateway/src/connection/target_stream.rs
+++ b/crates/agatecourse-gateway/src/connection/target_stream.rs
@@ -11,16 +11,17 @@
 
 /// Bytes of a connection to a target, which notices that the target is gone or has reset the connection.
 ///
-/// The kernel reports a reset once, to the write or the read that comes first. After a failed write, the end of the bytes may therefore be a
-/// reset and is reported as one.
+/// A target that is gone is noticed by the kernel's user timeout. The timeout is off for a long request, of which a target that reads slowly
+/// leaves a part in the buffers; the stream watches the acknowledgements itself then.
 ///
-/// The kernel notices that by a user timeout. It is off for a long request, of which a target that reads slowly leaves a part in the buffers;
-/// the stream watches the acknowledgements itself then.
+/// The kernel reports a reset once, to the write or the read that comes first. After a failed write, the end of the bytes may therefore be a
+/// reset, and is reported as one.
 #[derive(Debug)]
 pub(crate) struct TargetStream {
     tcp: TcpStream,
     /// Watch of the target with the time of its next reading; `None` while the user timeout is on.
     watch: Option<(PeerWatch, Pin<Box<Sleep>>)>,
+    /// True once a write has failed, so that a reset may already have been reported.
     has_write_failed: bool,
     /// Rest of the body of a request, which is written while the answer is read; `None` once it was written, or can't be.
     unsent: Option<UnsentBody>,
--- a/crates/agatecourse-gateway/src/request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod attempt_guard;
 mod caller_request;
 mod crash_check;
+mod crash_reports;
 mod event_splitter;
 mod open_connection;
 mod outbound;
--- a/crates/agatecourse-gateway/src/request/process_request/mod.rs
+++ b/crates/agatecourse-gateway/src/request/process_request/mod.rs
@@ -4,6 +4,7 @@
 use super::attempt::{AttemptEnd, attempt, return_to_pool};
 use super::attempt_guard::AttemptGuard;
 use super::crash_check::{LossVerdict, check_for_crash, still_runs};
+use super::crash_reports::crash_reports;
 use super::outbound::outbound_request;
 use super::relay::{Relay, RelayEnd, RelayOptions};
 use super::run_evidence::RunEvidence;
@@ -11,8 +12,8 @@
 use crate::connection::{BodyFraming, ResponseHead, TargetConnection};
 use crate::process::{Gateway, Placement, WireJob, may_start_request};
 use crate::version::Target;
+use agatecourse_core::request::CrashVerdict;
 use agatecourse_core::request::dispatch::{CallerKey, Refusal, RunEnd};
-use agatecourse_core::request::{CrashReport, CrashVerdict, SuspectKeys};
 use agatecourse_types::{ResultCode, TargetId, ZoneId, stable_hash};
 use request_log::log_reply;
 use slog::warn;
@@ -691,27 +692,6 @@
         self.has_attempts_left() && self.gateway.try_retry(&self.admitted.service)
     }
 
-    /// Returns the reports on the run of this request at a target that may have crashed. The parts of a prompt are weaker suspects once the answer
-    /// went on, because those that many running requests share are on each crash of a target.
-    fn crash_reports(&self, target: &Target, went_on: bool) -> SmallVec<[CrashReport; 2]> {
-        let keys = &self.admitted.suspect_keys;
-        let early_count = if went_on { keys.len().min(1) } else { keys.len() };
-        let (early, late) = keys.split_at(early_count);
-        let (started, ended) = (self.sent_at, Instant::now());
-        let kinds = [(early, false), (late, true)];
-        kinds
-            .into_iter()
-            .filter(|(keys, _)| !keys.is_empty())
-            .map(|(keys, is_late)| CrashReport {
-                target: stable_hash(&[target.address.to_string().as_bytes()]) as u32,
-                started,
-                ended,
-                keys: SuspectKeys::from_slice(keys),
-                is_late,
-            })
-            .collect()
-    }
-
     /// Ends the attempt of a lost run as soon as it is known whether its target has crashed. If a retry may follow, waits for that, so
     /// that the retry takes account of the crash.
     ///
@@ -719,7 +699,7 @@
     /// another one was heard meanwhile. A stream that went on is resumed without the wait, which would add to the pause between its events.
     async fn end_lost_run(&mut self, target: &Rc<Target>, guard: AttemptGuard, went_on: bool) {
         let has_parts = self.admitted.suspect_keys.len() > 1;
-        let reports = self.crash_reports(target, went_on);
+        let reports = crash_reports(&self.admitted.suspect_keys, target, self.sent_at, went_on);
         let may_retry = self.admitted.route.kind.is_repeatable() && self.has_attempts_left();
         let request = self.request.id(&self.gateway.header_names).unwrap_or_default().to_string();
         let check = check_for_crash(Rc::clone(self.gateway), Rc::clone(target), request, reports);
